Set down the shape: schema, generated data classes, rings, duties and ports

Messages and settings stand once, in .proto files. Weighed: (a) protobuf-java classes at the edges, mapped by hand to data classes; (b) data classes generated from the same files and annotated for kotlinx.serialization. (b) is taken: each field has one source, nothing is mapped by hand, unknown fields are tolerated by both the protobuf and the JSON format, and decision code sees plain data classes only.

--- /dev/null
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/Transition.kt
@@ -0,0 +1,20 @@
+/**
+ * The form that all decisions of the project share: a pure function of the state, an event and the time. It answers
+ * the next state and the effects that a duty carries out. Nothing in this module reads a clock, draws a random number,
+ * waits, or knows how a message is encoded; seeds and times arrive inside events.
+ */
+package org.mulberrypin.decisions
+
+/**
+ * The outcome of a decision.
+ *
+ * @property state the state from which the next event is decided
+ * @property effects what the duty has to carry out, in this order
+ */
+public data class Transition<out State, out Effect>(
+    val state: State,
+    val effects: List<Effect> = emptyList(),
+)
+
+/** Decides an event; the last argument is the time in milliseconds of the deciding process's own clock. */
+public typealias Decision<State, Event, Effect> = (State, Event, Long) -> Transition<State, Effect>
--- /dev/null
+++ b/runtime/src/main/kotlin/org/mulberrypin/runtime/Outcome.kt
@@ -0,0 +1,28 @@
+package org.mulberrypin.runtime
+
+/** The result of a step that can fail in a way its caller is expected to handle. */
+public sealed interface Outcome<out Value> {
+    /** The step succeeded with [value]. */
+    public data class Success<Value>(
+        val value: Value,
+    ) : Outcome<Value>
+
+    /** The step failed with [fault]. */
+    public data class Failure(
+        val fault: Fault,
+    ) : Outcome<Nothing>
+}
+
+/** Applies [transform] to the value of a success and leaves a failure as it is. */
+public inline fun <Value, Result> Outcome<Value>.map(transform: (Value) -> Result): Outcome<Result> =
+    when (this) {
+        is Outcome.Success -> Outcome.Success(transform(value))
+        is Outcome.Failure -> this
+    }
+
+/** Continues with [next] after a success and leaves a failure as it is. */
+public inline fun <Value, Result> Outcome<Value>.then(next: (Value) -> Outcome<Result>): Outcome<Result> =
+    when (this) {
+        is Outcome.Success -> next(value)
+        is Outcome.Failure -> this
+    }
--- /dev/null
+++ b/schema-generator/src/main/kotlin/org/mulberrypin/generator/SettingsFileModel.kt
@@ -0,0 +1,62 @@
+package org.mulberrypin.generator
+
+import com.google.protobuf.Descriptors.Descriptor
+import com.google.protobuf.Descriptors.FieldDescriptor
+import com.google.protobuf.Message
+
+/** The sections that one kind of settings file may hold. */
+internal data class SettingsFileModel(
+    val name: String,
+    val help: String,
+    val sections: List<SettingsSectionModel>,
+)
+
+/** One section and its keys. */
+internal data class SettingsSectionModel(
+    val name: String,
+    val help: String,
+    val fields: List<SettingsFieldModel>,
+)
+
+/** One key and the options that the schema states for it. */
+internal data class SettingsFieldModel(
+    val descriptor: FieldDescriptor,
+    val unit: String,
+    val minimum: String,
+    val maximum: String,
+    val defaultValue: String,
+    val help: String,
+    val required: Boolean,
+)
+
+internal fun settingsFileModel(
+    file: Commented<Descriptor>,
+    messages: List<Commented<Descriptor>>,
+): SettingsFileModel =
+    SettingsFileModel(
+        name = file.subject.name,
+        help = file.comment,
+        sections =
+            file.subject.fields.map { section ->
+                val message = messages.first { it.subject.fullName == section.messageType.fullName }
+                SettingsSectionModel(section.name, message.comment, message.subject.fields.map(::settingsFieldModel))
+            },
+    )
+
+private fun settingsFieldModel(field: FieldDescriptor): SettingsFieldModel {
+    val setting =
+        field.options.allFields.entries
+            .firstOrNull { it.key.isExtension && it.key.name == "setting" }
+            ?.value as? Message
+    requireNotNull(setting) { "${field.fullName}: expected the option 'setting', found none." }
+    val option = { name: String -> setting.getField(setting.descriptorForType.findFieldByName(name)) }
+    return SettingsFieldModel(
+        descriptor = field,
+        unit = option("unit") as String,
+        minimum = option("minimum") as String,
+        maximum = option("maximum") as String,
+        defaultValue = option("default_value") as String,
+        help = option("help") as String,
+        required = option("required") as Boolean,
+    )
+}
--- /dev/null
+++ b/schema-generator/src/main/kotlin/org/mulberrypin/generator/SettingsTableFile.kt
@@ -0,0 +1,57 @@
+package org.mulberrypin.generator
+
+import com.google.protobuf.Descriptors.FieldDescriptor
+import com.squareup.kotlinpoet.ClassName
+import com.squareup.kotlinpoet.CodeBlock
+import com.squareup.kotlinpoet.FileSpec
+import com.squareup.kotlinpoet.LIST
+import com.squareup.kotlinpoet.ParameterizedTypeName.Companion.parameterizedBy
+import com.squareup.kotlinpoet.PropertySpec
+
+private val sectionType = ClassName("org.mulberrypin.schema", "SettingsSection")
+private val fieldType = ClassName("org.mulberrypin.schema", "SettingsField")
+private val kindType = ClassName("org.mulberrypin.schema", "SettingsFieldKind")
+
+/** The file with the table of sections and keys of one kind of settings file. */
+internal fun settingsTableFile(file: SettingsFileModel): FileSpec {
+    val name = "${file.name}Sections"
+    val sections = CodeBlock.builder().add("listOf(\n⇥")
+    file.sections.forEach { sections.add(sectionCode(it)) }
+    val property =
+        PropertySpec
+            .builder(name.replaceFirstChar(Char::lowercase), LIST.parameterizedBy(sectionType))
+            .addKdoc("Sections and keys of a settings file that [%L] holds.", file.name)
+            .initializer(sections.add("⇤)").build())
+    return FileSpec
+        .builder(MESSAGES_PACKAGE, name)
+        .indent("    ")
+        .addProperty(property.build())
+        .build()
+}
+
+private fun sectionCode(section: SettingsSectionModel): CodeBlock {
+    val code = CodeBlock.builder().add("%T(\n⇥%S,\n%S,\nlistOf(\n⇥", sectionType, section.name, section.help)
+    section.fields.forEach { code.add(fieldCode(it)) }
+    return code.add("⇤),\n⇤),\n").build()
+}
+
+private fun fieldCode(field: SettingsFieldModel): CodeBlock =
+    CodeBlock
+        .builder()
+        .add("%T(\n⇥", fieldType)
+        .add("%S,\n%S,\n", field.descriptor.name, camelCase(field.descriptor.name))
+        .add("%T.%L,\n", kindType, settingsKind(field.descriptor))
+        .add("%S,\n%S,\n%S,\n", field.unit, field.minimum, field.maximum)
+        .add("%S,\n%S,\n%L,\n", field.defaultValue, field.help, field.required)
+        .add("⇤),\n")
+        .build()
+
+internal fun settingsKind(field: FieldDescriptor): String =
+    when (field.type) {
+        FieldDescriptor.Type.STRING -> "TEXT"
+        FieldDescriptor.Type.INT32 -> "WHOLE_NUMBER"
+        FieldDescriptor.Type.INT64 -> "LONG_NUMBER"
+        FieldDescriptor.Type.DOUBLE -> "FRACTION"
+        FieldDescriptor.Type.BOOL -> "SWITCH"
+        else -> error("${field.fullName}: type ${field.type} cannot stand in a settings file.")
+    }
--- /dev/null
+++ b/service/src/main/kotlin/org/mulberrypin/service/peers/PeerHandlers.kt
@@ -0,0 +1,28 @@
+package org.mulberrypin.service.peers
+
+import org.mulberrypin.runtime.Outcome
+import org.mulberrypin.schema.generated.BatchAnswer
+import org.mulberrypin.schema.generated.BatchRequest
+import org.mulberrypin.schema.generated.CrashReport
+import org.mulberrypin.schema.generated.CrashReportAnswer
+import org.mulberrypin.schema.generated.ExplanationAnswer
+import org.mulberrypin.schema.generated.ExplanationQuestion
+import org.mulberrypin.schema.generated.GroupAssignment
+import org.mulberrypin.schema.generated.GroupResult
+import org.mulberrypin.schema.generated.VersionAnnouncement
+import org.mulberrypin.schema.generated.VersionConfirmation
+
+/**
+ * What an entry instance does for its peers. A handler is called on a thread of the transport; it only offers to a
+ * ring and hands its outcome over later, from any thread.
+ */
+public data class PeerHandlers(
+    val announce: PeerHandler<VersionAnnouncement, VersionConfirmation>,
+    val runGroup: PeerHandler<GroupAssignment, GroupResult>,
+    val nextBatch: PeerHandler<BatchRequest, BatchAnswer>,
+    val explain: PeerHandler<ExplanationQuestion, ExplanationAnswer>,
+    val reportCrash: PeerHandler<CrashReport, CrashReportAnswer>,
+)
+
+/** Handles a request of a peer and hands over the outcome. */
+public typealias PeerHandler<Request, Answer> = (request: Request, onOutcome: (Outcome<Answer>) -> Unit) -> Unit
