--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/faults/FaultDecision.kt
@@ -0,0 +1,56 @@
+/** Decides which fault meets an operation. Counted faults are used up by the operations that they meet. */
+package org.mulberrypin.standins.faults
+
+import org.mulberrypin.schema.generated.StandInFaults
+
+/**
+ * @property faults the faults that stay in force
+ * @property action what happens to the operation
+ */
+internal data class FaultDecision(
+    val faults: StandInFaults,
+    val action: FaultAction,
+)
+
+/**
+ * Decides what happens to the operation named [operation].
+ *
+ * @param delayed true when the operation was delayed before
+ */
+internal fun decideFault(
+    faults: StandInFaults,
+    operation: String,
+    delayed: Boolean,
+): FaultDecision =
+    when {
+        !operation.startsWith(faults.operation) -> {
+            FaultDecision(faults, FaultAction.Run)
+        }
+
+        !delayed && faults.slowMilliseconds > 0 -> {
+            FaultDecision(faults, FaultAction.Delay(faults.slowMilliseconds))
+        }
+
+        faults.down -> {
+            FaultDecision(faults, FaultAction.Cut)
+        }
+
+        faults.refuse > 0 -> {
+            refuse(faults)
+        }
+
+        faults.loseAnswers > 0 -> {
+            FaultDecision(faults.copy(loseAnswers = faults.loseAnswers - 1), FaultAction.RunAndLoseAnswer)
+        }
+
+        else -> {
+            FaultDecision(faults, FaultAction.Run)
+        }
+    }
+
+private fun refuse(faults: StandInFaults): FaultDecision {
+    val status = if (faults.refuseStatus == 0) SERVICE_UNAVAILABLE_STATUS else faults.refuseStatus
+    return FaultDecision(faults.copy(refuse = faults.refuse - 1), FaultAction.Refuse(status))
+}
+
+private const val SERVICE_UNAVAILABLE_STATUS = 503
