Add engine and plain service stand-ins

Development and tests need back ends whose answers can be checked and whose failures can be brought about. The engine's text is a function of prompt, seed and position, names both in its first tokens, and does not depend on the weights, so that a joined answer can be checked after swaps and moves.

--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/StandInDuty.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/StandInDuty.kt
@@ -9,6 +9,7 @@
 import org.mulberrypin.runtime.ServiceClock
 import org.mulberrypin.runtime.boundedRing
 import org.mulberrypin.runtime.startDuty
+import org.mulberrypin.schema.generated.ReceivedRequest
 import org.mulberrypin.schema.generated.StandInFaults
 import org.mulberrypin.standins.faults.FaultAction
 import org.mulberrypin.standins.faults.FaultControl
@@ -19,12 +20,14 @@
 /**
  * @property submit hands in a call of a client
  * @property post runs a function on the duty's thread; false means that the ring is full
+ * @property await runs a function on the duty's thread and waits for its end
  * @property faults control over the faults in force
  * @property stop ends the thread
  */
 internal data class StandInDuty<Operation : Any>(
     val submit: (StandInCall<Operation>) -> Unit,
     val post: (() -> Unit) -> Boolean,
+    val await: (() -> Unit) -> Unit,
     val faults: FaultControl,
     val stop: () -> Unit,
 )
@@ -32,12 +35,14 @@
 /**
  * What a stand-in does on the thread of its duty.
  *
+ * @property arrived called for each call before any fault meets it
  * @property run runs an operation; the connection is cut instead of an answer when the flag is true
  * @property faultsChanged called when other faults come into force
  * @property tick called once in each tick interval
  */
 internal data class StandInWork<Operation : Any>(
     val run: (call: StandInCall<Operation>, loseAnswer: Boolean) -> Unit,
+    val arrived: (ReceivedRequest) -> Unit = {},
     val faultsChanged: (StandInFaults) -> Unit = {},
     val tick: () -> Unit = {},
 )
@@ -54,6 +59,7 @@
     val duty = startDuty(name, ring, clock, tickMilliseconds, handleEvent = { it() }, handleTick = work.tick)
     lateinit var submit: (StandInCall<Operation>) -> Unit
     val handle: (StandInCall<Operation>) -> Unit = { call ->
+        if (!call.delayed) work.arrived(call.received)
         val decision = decideFault(faults.get(), call.name, call.delayed)
         faults.set(decision.faults)
         carryOut(decision.action, call, work) { submit(it) }
@@ -66,6 +72,7 @@
     return StandInDuty(
         submit = submit,
         post = ring::offer,
+        await = { action -> runAndWait(ring, action) },
         faults = FaultControl(set = { changed -> runAndWait(ring) { change(changed) } }, read = faults::get),
         stop = { duty.stop(STOP_MILLISECONDS) },
     )
--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/engine/ChunkForm.kt
@@ -0,0 +1,82 @@
+/** The parts of an answer in the form of the interface that the client uses: completions or chat completions. */
+package org.mulberrypin.standins.engine
+
+import org.mulberrypin.schema.generated.ChatMessage
+import org.mulberrypin.schema.generated.CompletionChoice
+import org.mulberrypin.schema.generated.CompletionChunk
+import org.mulberrypin.schema.generated.CompletionUsage
+
+/**
+ * @property isChat true for chat completions
+ * @property id identifier of the answer
+ */
+internal data class ChunkForm(
+    val isChat: Boolean,
+    val id: String,
+    val model: String,
+) {
+    /** A part of a streamed answer. */
+    fun part(
+        part: EngineEffect.Part,
+    ): CompletionChunk = chunk(streamedChoice(part.text, part.tokens), part.weightVersion)
+
+    /** The last part of a streamed answer, which holds no text. */
+    fun end(finish: EngineEffect.Finish): CompletionChunk {
+        val choice = streamedChoice(text = "", tokens = 0).copy(finishReason = finish.task.finishReason)
+        return chunk(choice, finish.weightVersion).copy(usage = usageOf(finish.task))
+    }
+
+    /** An answer that is not streamed; it names the version of the weights at its end. */
+    fun whole(
+        parts: List<EngineEffect.Part>,
+        finish: EngineEffect.Finish,
+    ): CompletionChunk {
+        val text = parts.joinToString("") { it.text }
+        val choice = CompletionChoice(
+            text = if (isChat) "" else text,
+            message = if (isChat) ChatMessage(role = ASSISTANT, content = text) else null,
+            finishReason = finish.task.finishReason,
+            tokens = parts.sumOf { it.tokens },
+        )
+        return CompletionChunk(
+            id = id,
+            `object` = if (isChat) "chat.completion" else "text_completion",
+            model = model,
+            choices = listOf(choice),
+            usage = usageOf(finish.task),
+            weightVersion = finish.weightVersion,
+        )
+    }
+
+    private fun streamedChoice(
+        text: String,
+        tokens: Int,
+    ): CompletionChoice =
+        CompletionChoice(
+            text = if (isChat) "" else text,
+            delta = if (isChat) ChatMessage(role = ASSISTANT, content = text) else null,
+            tokens = tokens,
+        )
+
+    private fun chunk(
+        choice: CompletionChoice,
+        weightVersion: Long,
+    ): CompletionChunk =
+        CompletionChunk(
+            id = id,
+            `object` = if (isChat) "chat.completion.chunk" else "text_completion",
+            model = model,
+            choices = listOf(choice),
+            weightVersion = weightVersion,
+        )
+
+    private fun usageOf(task: EngineTask): CompletionUsage {
+        val generated = (task.endPosition - task.firstPosition).toLong()
+        val prompt = task.promptTokens.toLong()
+        return CompletionUsage(prompt, generated, prompt + generated)
+    }
+
+    private companion object {
+        private const val ASSISTANT = "assistant"
+    }
+}
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/platform/PlatformRoutes.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/platform/PlatformRoutes.kt
@@ -25,6 +25,7 @@
 import org.mulberrypin.standins.StandInCall
 import org.mulberrypin.standins.jsonReply
 import org.mulberrypin.standins.openExchange
+import org.mulberrypin.standins.received.receivedRequest
 
 /** Reads an operation out of a request. */
 private typealias OperationReader = (ServiceRequestContext, AggregatedHttpRequest) -> Outcome<PlatformOperation>
@@ -55,7 +56,10 @@
             openExchange(context) { exchange ->
                 request.aggregate().thenAccept { body ->
                     when (val operation = read(context, body)) {
-                        is Outcome.Success -> submit(StandInCall(name, operation.value, exchange))
+                        is Outcome.Success -> submit(
+                            StandInCall(name, operation.value, exchange, receivedRequest(body)),
+                        )
+
                         is Outcome.Failure -> exchange.respond(badRequest(operation.fault.detail))
                     }
                 }
--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/text/AnswerCheck.kt
@@ -0,0 +1,42 @@
+/** Checks whether a text is the whole answer to a prompt. */
+package org.mulberrypin.standins.text
+
+/** What a text turned out to be. */
+public enum class AnswerCheck {
+    /** The whole answer to the prompt. */
+    WHOLE,
+
+    /** An answer to another prompt, or to the same one under another seed than stated. */
+    CROSSED,
+
+    /** Neither: cut, doubled or changed on the way. */
+    DAMAGED,
+}
+
+/**
+ * Checks [text] against the answer to [prompt].
+ *
+ * @param seed the seed of the request, or null when another process chose it
+ */
+public fun checkAnswer(
+    prompt: String,
+    text: String,
+    maxTokens: Int?,
+    seed: Long? = null,
+): AnswerCheck {
+    val words = text.split(' ')
+    val foundSeed = words
+        .first()
+        .removePrefix(SEED_MARK)
+        .toULongOrNull(RADIX)
+        ?.toLong()
+    val foundPrompt = words.getOrNull(1)?.removePrefix(PROMPT_MARK)
+    val expectedPrompt = promptDigest(prompt).toULong().toString(RADIX)
+    return when {
+        foundSeed == null -> AnswerCheck.DAMAGED
+        seed != null && seed != foundSeed -> AnswerCheck.CROSSED
+        foundPrompt != null && foundPrompt != expectedPrompt -> AnswerCheck.CROSSED
+        generatedAnswer(prompt, foundSeed, maxTokens).text == text -> AnswerCheck.WHOLE
+        else -> AnswerCheck.DAMAGED
+    }
+}
