--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/HttpExchange.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/HttpExchange.kt
@@ -1,7 +1,7 @@
 package org.mulberrypin.standins
 
 import com.linecorp.armeria.common.HttpResponse
-import com.linecorp.armeria.common.stream.ClosedStreamException
+import com.linecorp.armeria.common.logging.RequestLogProperty
 import com.linecorp.armeria.server.ServiceRequestContext
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
@@ -10,7 +10,7 @@
  * A request of a client that waits for its response. All functions may be called from any thread and never block.
  *
  * @property respond sends the response
- * @property cut closes the connection without a response
+ * @property cut closes the connection at once, in front of a response or in the middle of one
  * @property whenClosed calls a function, on any thread, when the client goes before the response is whole
  * @property delay calls a function after a number of milliseconds
  */
@@ -26,24 +26,20 @@
     context: ServiceRequestContext,
     handle: (HttpExchange) -> Unit,
 ): HttpResponse {
-    val response = CompletableFuture<HttpResponse>()
-    val outer = HttpResponse.of(response)
+    val pending = CompletableFuture<HttpResponse>()
+    val response = HttpResponse.of(pending)
     val exchange = HttpExchange(
-        respond = { response.complete(it) },
-        cut = { response.complete(cutResponse()) },
-        whenClosed = { action -> outer.whenComplete().exceptionally { action.toVoid() } },
+        respond = { pending.complete(it) },
+        cut = { closeConnection(context) },
+        whenClosed = { action -> response.whenComplete().whenComplete { _, failure -> if (failure != null) action() } },
         delay = { milliseconds, action ->
             context.eventLoop().withoutContext().schedule(action, milliseconds, TimeUnit.MILLISECONDS)
         },
     )
     handle(exchange)
-    return outer
+    return response
 }
 
-private fun (() -> Unit).toVoid(): Void? {
-    invoke()
-    return null
+private fun closeConnection(context: ServiceRequestContext) {
+    context.log().whenAvailable(RequestLogProperty.SESSION).thenAccept { log -> log.channel()?.close() }
 }
-
-/** A response that makes the server close the connection without sending anything. */
-internal fun cutResponse(): HttpResponse = HttpResponse.ofFailure(ClosedStreamException.get())
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/StandInDuty.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/StandInDuty.kt
@@ -22,7 +22,7 @@
  * @property post runs a function on the duty's thread; false means that the ring is full
  * @property await runs a function on the duty's thread and waits for its end
  * @property faults control over the faults in force
- * @property stop ends the thread
+ * @property stop ends the thread, which may take until its next tick
  */
 internal data class StandInDuty<Operation : Any>(
     val submit: (StandInCall<Operation>) -> Unit,
@@ -121,4 +121,4 @@
 }
 
 private const val RING_CAPACITY = 65_536
-private const val STOP_MILLISECONDS = 1_000L
+private const val STOP_MILLISECONDS = 1L
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/engine/EngineOutput.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/engine/EngineOutput.kt
@@ -7,7 +7,6 @@
 import com.linecorp.armeria.common.HttpStatus
 import com.linecorp.armeria.common.MediaType
 import com.linecorp.armeria.common.ResponseHeaders
-import com.linecorp.armeria.common.stream.ClosedStreamException
 import org.mulberrypin.runtime.wireJson
 import org.mulberrypin.schema.generated.CompletionChunk
 import org.mulberrypin.standins.HttpExchange
@@ -42,7 +41,7 @@
             writer().close()
         },
         refuse = { reason -> exchange.respond(refusal(reason)) },
-        cut = { opened?.close(ClosedStreamException.get()) ?: exchange.cut() },
+        cut = exchange.cut,
     )
 }
 
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/platform/PlatformDecision.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/platform/PlatformDecision.kt
@@ -8,15 +8,6 @@
 import org.mulberrypin.schema.generated.TableCommit
 import org.mulberrypin.schema.generated.UsageWindow
 
-/**
- * @property state the state after the operation
- * @property answer what the client is told
- */
-internal data class PlatformChange(
-    val state: PlatformState,
-    val answer: PlatformAnswer,
-)
-
 /** Performs [operation] at [nowWallMilliseconds], the time since the Unix epoch by the stand-in's clock. */
 internal fun PlatformState.perform(
     operation: PlatformOperation,
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/platform/StartPlatformStandIn.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/platform/StartPlatformStandIn.kt
@@ -7,7 +7,6 @@
 import org.mulberrypin.standins.StandInCall
 import org.mulberrypin.standins.StandInDuty
 import org.mulberrypin.standins.StandInWork
-import org.mulberrypin.standins.cutResponse
 import org.mulberrypin.standins.faults.addFaultRoutes
 import org.mulberrypin.standins.jsonReply
 import org.mulberrypin.standins.startStandInDuty
@@ -47,7 +46,7 @@
     val run: (StandInCall<PlatformOperation>, Boolean) -> Unit = { call, loseAnswer ->
         val change = state.get().perform(call.operation, options, clock.readWallMilliseconds())
         state.set(change.state)
-        call.exchange.respond(if (loseAnswer) cutResponse() else encodePlatformAnswer(change.answer))
+        if (loseAnswer) call.exchange.cut() else call.exchange.respond(encodePlatformAnswer(change.answer))
     }
     val work = StandInWork(run = run, faultsChanged = { faults -> state.set(state.get().under(faults)) })
     return startStandInDuty("platform-stand-in", clock, IDLE_TICK_MILLISECONDS, work)
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/text/GeneratedText.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/text/GeneratedText.kt
@@ -4,17 +4,6 @@
  */
 package org.mulberrypin.standins.text
 
-/**
- * A whole answer.
- *
- * @property finishReason "stop" for an answer that ended by itself, "length" for one that reached its limit
- */
-public data class GeneratedAnswer(
-    val text: String,
-    val tokens: Int,
-    val finishReason: String,
-)
-
 /** The whole answer to [prompt] under [seed], at most [maxTokens] long; null stands for [DEFAULT_MAX_TOKENS]. */
 public fun generatedAnswer(
     prompt: String,
@@ -65,9 +54,9 @@
 
 /** Spreads the bits of [value] over the whole result. */
 internal fun mix(value: Long): Long {
-    val first = (value xor (value ushr 30)) * -0x40a7b892e31b1a47L
-    val second = (first xor (first ushr 27)) * -0x6b2fb644ecceee15L
-    return second xor (second ushr 31)
+    val first = (value xor (value ushr FIRST_SHIFT)) * FIRST_FACTOR
+    val second = (first xor (first ushr SECOND_SHIFT)) * SECOND_FACTOR
+    return second xor (second ushr LAST_SHIFT)
 }
 
 /** Longest answer, in tokens, to a request that sets no limit. */
@@ -86,3 +75,8 @@
 private const val LONG_FACTOR = 6
 private const val FNV_OFFSET = -0x340d631b7bdddcdbL
 private const val FNV_PRIME = 0x100000001b3L
+private const val FIRST_SHIFT = 30
+private const val FIRST_FACTOR = -0x40a7b892e31b1a47L
+private const val SECOND_SHIFT = 27
+private const val SECOND_FACTOR = -0x6b2fb644ecceee15L
+private const val LAST_SHIFT = 31
