--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/Transition.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/Transition.kt
@@ -18,3 +18,11 @@
 
 /** Decides an event; the last argument is the time in milliseconds of the deciding process's own clock. */
 public typealias Decision<State, Event, Effect> = (State, Event, Long) -> Transition<State, Effect>
+
+/** Decides a second step from the state that this one led to; the effects follow each other. */
+public inline fun <State, Effect> Transition<State, Effect>.andThen(
+    next: (State) -> Transition<State, Effect>,
+): Transition<State, Effect> {
+    val following = next(state)
+    return if (effects.isEmpty()) following else Transition(following.state, effects + following.effects)
+}
--- a/service/src/main/kotlin/org/mulberrypin/service/requests/RequestPart.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/requests/RequestPart.kt
@@ -4,35 +4,33 @@
  */
 package org.mulberrypin.service.requests
 
-import org.mulberrypin.decisions.requests.RequestArrival
-import org.mulberrypin.decisions.requests.RequestReply
-import org.mulberrypin.schema.generated.CompletionRequest
 import org.mulberrypin.schema.generated.Configuration
 
 /**
- * @property submit hands in a request; false means that the ring is full and the request was not run
+ * Operations on the duty that carries requests. None of them blocks.
+ *
+ * @property nextNumber answers a request number that differs between all requests of this process
+ * @property submit hands in a request for a model; false means that the ring is full and the request was not run
+ * @property submitPlain hands in a call of a plain service; false means the same
  * @property cancel tells that the caller of a request has gone
  * @property configurationChanged puts a configuration in force
+ * @property instancesChanged tells the number of live instances
+ * @property certaintyChanged tells whether the configuration is known to be in force
+ * @property crashReported tells of a content that was running when a backend server crashed at another instance
  * @property drain stops admission; requests under way continue
  * @property inFlight the number of requests that wait or are under way
  * @property stop ends the duty
  */
 public data class RequestPart(
+    val nextNumber: () -> Long,
     val submit: (RequestSubmission) -> Boolean,
+    val submitPlain: (PlainSubmission) -> Boolean,
     val cancel: (request: Long) -> Unit,
     val configurationChanged: (Configuration) -> Unit,
+    val instancesChanged: (Int) -> Unit,
+    val certaintyChanged: (Boolean) -> Unit,
+    val crashReported: (contentDigest: String, server: String) -> Unit,
     val drain: () -> Unit,
     val inFlight: () -> Int,
     val stop: () -> Unit,
 )
-
-/**
- * A request with its content and the receiver of its replies.
- *
- * @property onReply called by the duty's thread, in order; must not block
- */
-public data class RequestSubmission(
-    val arrival: RequestArrival,
-    val content: CompletionRequest,
-    val onReply: (RequestReply) -> Unit,
-)
