--- /dev/null
+++ b/service/src/main/kotlin/org/mulberrypin/service/frontend/ErrorResponses.kt
@@ -0,0 +1,83 @@
+/** Error answers to callers: a status, whether the request may have run, and when to ask again. */
+package org.mulberrypin.service.frontend
+
+import com.linecorp.armeria.common.AggregatedHttpResponse
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpHeaderNames
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.common.ResponseHeaders
+import org.mulberrypin.decisions.requests.Refusal
+import org.mulberrypin.decisions.requests.RequestReply
+import org.mulberrypin.runtime.wireJson
+import org.mulberrypin.schema.generated.ErrorAnswer
+import org.mulberrypin.schema.generated.ErrorDetail
+
+/** Answers that a request was not run, for a reason found by the front end itself. */
+internal fun notRunResponse(
+    status: HttpStatus,
+    type: String,
+    message: String,
+): AggregatedHttpResponse =
+    errorResponse(status, ErrorDetail(message, type, NOT_RUN, step = "front end"), retryAfterMilliseconds = 0)
+
+/** Answers the refusal of a request that was not run. */
+internal fun refusalResponse(reply: RequestReply.NotRun): AggregatedHttpResponse =
+    errorResponse(
+        refusalStatus(reply.refusal),
+        refusalDetail(reply),
+        reply.retryAfterMilliseconds,
+    )
+
+/** Answers that a request may have run and has no whole answer. */
+internal fun failureResponse(reply: RequestReply.MayHaveRun): AggregatedHttpResponse =
+    errorResponse(HttpStatus.BAD_GATEWAY, failureDetail(reply), retryAfterMilliseconds = 0)
+
+internal fun refusalDetail(reply: RequestReply.NotRun): ErrorDetail =
+    ErrorDetail(refusalMessage(reply.refusal), reply.refusal.name.lowercase(), NOT_RUN, reply.step, reply.peer)
+
+internal fun failureDetail(reply: RequestReply.MayHaveRun): ErrorDetail =
+    ErrorDetail(reply.reason, "may_have_run", MAY_HAVE_RUN, reply.step, reply.peer)
+
+private fun errorResponse(
+    status: HttpStatus,
+    detail: ErrorDetail,
+    retryAfterMilliseconds: Long,
+): AggregatedHttpResponse {
+    val headers = ResponseHeaders.builder(status).contentType(MediaType.JSON)
+    if (retryAfterMilliseconds > 0) {
+        headers.add(HttpHeaderNames.RETRY_AFTER, wholeSeconds(retryAfterMilliseconds).toString())
+    }
+    val body = wireJson.encodeToString(ErrorAnswer.serializer(), ErrorAnswer(detail))
+    return AggregatedHttpResponse.of(headers.build(), HttpData.ofUtf8(body))
+}
+
+private fun wholeSeconds(milliseconds: Long): Long =
+    (milliseconds + MILLISECONDS_PER_SECOND - 1) / MILLISECONDS_PER_SECOND
+
+private fun refusalStatus(refusal: Refusal): HttpStatus =
+    when (refusal) {
+        Refusal.UNKNOWN_ROUTE -> HttpStatus.NOT_FOUND
+        Refusal.KEY_WITHDRAWN -> HttpStatus.UNAUTHORIZED
+        Refusal.ISOLATED -> HttpStatus.UNPROCESSABLE_ENTITY
+        Refusal.OVERLOADED -> HttpStatus.TOO_MANY_REQUESTS
+        else -> HttpStatus.SERVICE_UNAVAILABLE
+    }
+
+private fun refusalMessage(refusal: Refusal): String =
+    when (refusal) {
+        Refusal.UNKNOWN_ROUTE -> "The route does not exist or is closed to this key's team."
+        Refusal.KEY_WITHDRAWN -> "The key was withdrawn."
+        Refusal.OVERLOADED -> "Too many requests wait."
+        Refusal.WAITED_TOO_LONG -> "No backend server had room in time."
+        Refusal.NO_BACKEND_SERVER -> "No backend server could be reached."
+        Refusal.ISOLATED -> "This content crashed backend servers and is isolated; this request was not run."
+        Refusal.LEAVING -> "This instance is shutting down."
+        Refusal.CONFIGURATION_UNCERTAIN -> "This instance cannot tell whether its configuration is in force."
+        Refusal.RECORD_UNAVAILABLE -> "The record that the request needs cannot be written."
+    }
+
+internal const val NOT_RUN = "not_run"
+internal const val MAY_HAVE_RUN = "may_have_run"
+
+private const val MILLISECONDS_PER_SECOND = 1_000L
--- /dev/null
+++ b/service/src/main/kotlin/org/mulberrypin/service/peers/PeerServer.kt
@@ -0,0 +1,63 @@
+/** The gRPC service that peers call. Handlers only offer to rings; the answer is sent when its outcome arrives. */
+package org.mulberrypin.service.peers
+
+import com.linecorp.armeria.server.grpc.GrpcService
+import io.grpc.MethodDescriptor
+import io.grpc.ServerServiceDefinition
+import io.grpc.Status
+import io.grpc.stub.ServerCalls
+import io.grpc.stub.StreamObserver
+import org.mulberrypin.runtime.Fault
+import org.mulberrypin.runtime.FaultKind
+import org.mulberrypin.runtime.Outcome
+import org.mulberrypin.service.generated.PeerMethods
+
+/** Creates the service that answers peers through [handlers]. */
+internal fun peerService(handlers: PeerHandlers): GrpcService =
+    GrpcService
+        .builder()
+        .addService(
+            ServerServiceDefinition
+                .builder(PeerMethods.SERVICE)
+                .handle(PeerMethods.announce, handlers.announce)
+                .handle(PeerMethods.runGroup, handlers.runGroup)
+                .handle(PeerMethods.nextBatch, handlers.nextBatch)
+                .handle(PeerMethods.explain, handlers.explain)
+                .handle(PeerMethods.reportCrash, handlers.reportCrash)
+                .build(),
+        ).build()
+
+private fun <Request : Any, Answer : Any> ServerServiceDefinition.Builder.handle(
+    method: MethodDescriptor<Request, Answer>,
+    handler: PeerHandler<Request, Answer>,
+): ServerServiceDefinition.Builder =
+    addMethod(
+        method,
+        ServerCalls.asyncUnaryCall { request: Request, observer: StreamObserver<Answer> ->
+            handler(request) { outcome -> answer(observer, outcome) }
+        },
+    )
+
+private fun <Answer : Any> answer(
+    observer: StreamObserver<Answer>,
+    outcome: Outcome<Answer>,
+) {
+    when (outcome) {
+        is Outcome.Success -> {
+            observer.onNext(outcome.value)
+            observer.onCompleted()
+        }
+
+        is Outcome.Failure -> {
+            observer.onError(statusOf(outcome.fault).asRuntimeException())
+        }
+    }
+}
+
+private fun statusOf(fault: Fault): Status =
+    when (fault.kind) {
+        FaultKind.REFUSED -> Status.FAILED_PRECONDITION
+        FaultKind.CONFLICT -> Status.ABORTED
+        FaultKind.NOT_RUN -> Status.RESOURCE_EXHAUSTED
+        FaultKind.UNKNOWN -> Status.UNKNOWN
+    }.withDescription(fault.toString())
