--- /dev/null
+++ b/decisions/src/test/kotlin/org/mulberrypin/decisions/leases/DecideLeaseTest.kt
@@ -0,0 +1,101 @@
+package org.mulberrypin.decisions.leases
+
+import io.kotest.common.ExperimentalKotest
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.long
+import io.kotest.property.checkAll
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.DisplayName
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.hasSize
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isNull
+import strikt.assertions.single
+import kotlin.random.Random
+
+@OptIn(ExperimentalKotest::class)
+@DisplayName("A lease")
+class DecideLeaseTest {
+    @Nested
+    @DisplayName("under pauses, outages, lost answers and unequal clocks")
+    inner class UnderFailures {
+        @Test
+        fun `is never relied on by two processes at the same time`() {
+            runBlocking {
+                checkAll(PropTestConfig(seed = 71, iterations = 300), Arb.long()) { seed ->
+                    val simulation = LeaseSimulation(Random(seed), processes = 3)
+                    repeat(400) {
+                        simulation.step { expectThat(simulation.holders().size).isLessThanOrEqualTo(1) }
+                    }
+                }
+            }
+        }
+
+        @Test
+        fun `gives each holder a larger fencing number`() {
+            runBlocking {
+                checkAll(PropTestConfig(seed = 72, iterations = 200), Arb.long()) { seed ->
+                    val simulation = LeaseSimulation(Random(seed), processes = 3)
+                    repeat(400) { simulation.step {} }
+                    val numbers = simulation.fencingNumbers
+                    expectThat(numbers.toSet()).hasSize(numbers.size)
+                }
+            }
+        }
+
+        @Test
+        fun `is taken again in bounded time by the candidate that is left`() {
+            runBlocking {
+                checkAll(PropTestConfig(seed = 73, iterations = 200), Arb.long()) { seed ->
+                    val simulation = LeaseSimulation(Random(seed), processes = 3, faults = false)
+                    repeat(60) { simulation.step {} }
+                    val dead = simulation.holders().ifEmpty { simulation.processes.take(1) }
+                    dead.forEach { it.pausedUntil = Long.MAX_VALUE }
+                    val bound = simulation.trueMilliseconds + 9_000 * 2 + 3_000
+                    while (simulation.trueMilliseconds < bound) simulation.step {}
+                    expectThat((simulation.holders() - dead.toSet())).hasSize(1)
+                }
+            }
+        }
+    }
+
+    @Nested
+    @DisplayName("whose write got no answer")
+    inner class LostAnswer {
+        private val terms = SimulatedProcess(1, rate = 1.0, random = Random(1)).state.terms
+
+        private fun taking(): LeaseState {
+            val reading = decideLease(LeaseState(terms), LeaseEvent.Tick, 0).state
+            val read = decideLease(reading, LeaseEvent.RowRead(1, LeaseRow(0, null)), 10).state
+            return decideLease(read, LeaseEvent.Tick, 1_000).state
+        }
+
+        @Test
+        fun `is read before anything else and counts from the moment of sending`() {
+            val unknown = decideLease(taking(), LeaseEvent.WriteUnknown(2), 2_000).state
+            val asked = decideLease(unknown, LeaseEvent.Tick, 2_000)
+            expectThat(asked.effects).single().isA<LeaseEffect.ReadRow>()
+            val own = leaseRecord("instance-1", 1).copy(renewals = 2)
+            val held = decideLease(asked.state, LeaseEvent.RowRead(3, LeaseRow(1, own)), 2_100).state
+            expectThat(held.hold?.deadlineMilliseconds).isEqualTo(1_000 + terms.reliedOnMilliseconds)
+        }
+
+        @Test
+        fun `is not relied on after a release`() {
+            val released = decideLease(taking(), LeaseEvent.Release, 1_100).state
+            val written = decideLease(released, LeaseEvent.Written(2), 1_200).state
+            expectThat(written.hold).isNull()
+            val last = decideLease(written, LeaseEvent.Tick, 1_300).effects
+            expectThat(last)
+                .single()
+                .isA<LeaseEffect.WriteRow>()
+                .get { record.released }
+                .isEqualTo(true)
+        }
+    }
+}
