Add the load library and tests of the stand-ins

Callers and a trainer check every answer against the deterministic text, so that lost, doubled, crossed and damaged answers are told apart; a trainer's checks are a pure tally.

--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/load/CallKind.kt
@@ -0,0 +1,13 @@
+package org.mulberrypin.standins.load
+
+/** What a caller asks for. */
+public enum class CallKind {
+    /** A completion that is answered at once. */
+    INTERACTIVE,
+
+    /** A completion that is streamed. */
+    STREAMED,
+
+    /** A write to a plain service under an idempotency key. */
+    KEYED_WRITE,
+}
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/text/AnswerCheck.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/text/AnswerCheck.kt
@@ -9,7 +9,10 @@
     /** An answer to another prompt, or to the same one under another seed than stated. */
     CROSSED,
 
-    /** Neither: cut, doubled or changed on the way. */
+    /** Longer than the whole answer, so that a part of it arrived twice. */
+    DOUBLED,
+
+    /** Cut short or changed on the way. */
     DAMAGED,
 }
 
@@ -36,7 +39,17 @@
         foundSeed == null -> AnswerCheck.DAMAGED
         seed != null && seed != foundSeed -> AnswerCheck.CROSSED
         foundPrompt != null && foundPrompt != expectedPrompt -> AnswerCheck.CROSSED
-        generatedAnswer(prompt, foundSeed, maxTokens).text == text -> AnswerCheck.WHOLE
-        else -> AnswerCheck.DAMAGED
+        else -> compare(generatedAnswer(prompt, foundSeed, maxTokens), text, words.size)
     }
 }
+
+private fun compare(
+    expected: GeneratedAnswer,
+    text: String,
+    tokens: Int,
+): AnswerCheck =
+    when {
+        expected.text == text -> AnswerCheck.WHOLE
+        tokens > expected.tokens -> AnswerCheck.DOUBLED
+        else -> AnswerCheck.DAMAGED
+    }
--- /dev/null
+++ b/stand-ins/src/test/kotlin/org/mulberrypin/standins/engine/EngineDecisionTest.kt
@@ -0,0 +1,142 @@
+package org.mulberrypin.standins.engine
+
+import io.kotest.common.ExperimentalKotest
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.int
+import io.kotest.property.arbitrary.list
+import io.kotest.property.checkAll
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.DisplayName
+import org.junit.jupiter.api.Test
+import org.mulberrypin.schema.generated.CompletionRequest
+import org.mulberrypin.schema.generated.EngineWeightOrder
+import org.mulberrypin.standins.text.generatedAnswer
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+import strikt.assertions.isTrue
+
+@OptIn(ExperimentalKotest::class)
+@DisplayName("The decisions of the engine stand-in")
+class EngineDecisionTest {
+    private val options = EngineStandInOptions(slots = 2, tokenMilliseconds = 10, swapMilliseconds = 50)
+
+    private fun task(
+        number: Long,
+        prompt: String = "prompt $number",
+        priority: Int = 0,
+    ): EngineTask =
+        checkNotNull(engineTask(number, CompletionRequest(prompt = prompt, maxTokens = 20, priority = priority)))
+
+    private fun EngineState.with(vararg tasks: EngineTask): EngineState =
+        tasks.fold(this) { state, task -> state.submit(task, options).state }
+
+    private fun EngineState.order(
+        version: Long,
+        fencingNumber: Long,
+        now: Long,
+        fencing: Boolean = true,
+    ): WeightOrderChange =
+        order(EngineWeightOrder(version = version, fencingNumber = fencingNumber), options.copy(fencing = fencing), now)
+
+    @Test
+    fun `generate the whole text in any rhythm and over any swaps, each part under one version`() {
+        runBlocking {
+            checkAll(PropTestConfig(seed = 31), Arb.list(Arb.int(1..120), 40..60), Arb.int(0..30)) { pauses, swapAt ->
+                var state = EngineState(weightVersion = 1).with(task(1), task(2), task(3))
+                val effects = mutableListOf<EngineEffect>()
+                var now = 0L
+                pauses.forEachIndexed { index, pause ->
+                    if (index % 31 == swapAt) state = state.order(index + 2L, 1, now).state
+                    now += pause
+                    val change = state.advance(options, now)
+                    state = change.state
+                    effects += change.effects
+                }
+                val finished = effects.filterIsInstance<EngineEffect.Finish>().map { it.task }
+                finished.forEach { task ->
+                    val parts = effects.filterIsInstance<EngineEffect.Part>().filter { it.task == task.task }
+                    expectThat(parts.joinToString("") { it.text })
+                        .isEqualTo(generatedAnswer(task.prompt, task.seed, 20).text)
+                    expectThat(parts.map { it.weightVersion }).isEqualTo(parts.map { it.weightVersion }.sorted())
+                }
+            }
+        }
+    }
+
+    @Test
+    fun `change the version in the middle of an answer`() {
+        var state = EngineState(weightVersion = 1).with(task(1)).advance(options, 0).state
+        state = state
+            .advance(options, 50)
+            .state
+            .order(version = 2, fencingNumber = 1, now = 50)
+            .state
+        expectThat(state.advance(options, 90).effects).isEqualTo(emptyList())
+        val parts = state.advance(options, 130).effects.filterIsInstance<EngineEffect.Part>()
+        expectThat(parts.map { it.weightVersion }).containsExactly(2)
+    }
+
+    @Test
+    fun `refuse an old fencing number only when they check it`() {
+        val state = EngineState(weightVersion = 1).order(version = 2, fencingNumber = 5, now = 0).state
+        expectThat(state.order(version = 3, fencingNumber = 4, now = 0).answer.accepted).isFalse()
+        expectThat(state.order(version = 3, fencingNumber = 4, now = 0, fencing = false).answer.accepted).isTrue()
+    }
+
+    @Test
+    fun `keep the old weights when a swap fails`() {
+        val state = EngineState(
+            weightVersion = 1,
+            failingSwaps = 1,
+        ).order(version = 2, fencingNumber = 1, now = 0).state
+        expectThat(state.advance(options, 60).state.weightVersion).isEqualTo(1)
+    }
+
+    @Test
+    fun `start waiting tasks by priority, then by arrival`() {
+        val state = EngineState(weightVersion = 1)
+            .with(task(1, priority = 2), task(2, priority = 1), task(3, priority = 1))
+            .advance(options, 0)
+            .state
+        expectThat(state.running.keys.sorted()).containsExactly(2, 3)
+    }
+
+    @Test
+    fun `start an answer sooner when its prefix is cached, and forget prefixes beyond the memory`() {
+        val long = "x".repeat(64_000)
+        val cold = EngineState(weightVersion = 1).with(task(1, long)).advance(options, 0).state
+        val warm = cold
+            .cancel(1)
+            .with(task(2, long))
+            .advance(options, 0)
+            .state
+        expectThat(warm.running.getValue(2).dueMilliseconds).isLessThan(cold.running.getValue(1).dueMilliseconds)
+        val small = options.copy(cacheBlocks = 10)
+        val forgetful = EngineState(weightVersion = 1).with(task(1, long)).advance(small, 0).state
+        expectThat(forgetful.cache.blocks.size).isEqualTo(10)
+    }
+
+    @Test
+    fun `refuse a task when too many wait`() {
+        val full = options.copy(waitingLimit = 0)
+        expectThat(EngineState(weightVersion = 1).submit(task(1), full).effects).containsExactly(EngineEffect.Refuse(1))
+    }
+
+    @Test
+    fun `forget a task whose client has gone`() {
+        val state = EngineState(weightVersion = 1).with(task(1), task(2), task(3)).advance(options, 0).state
+        expectThat(state.waiting.size).isGreaterThan(0)
+        expectThat(
+            state
+                .cancel(1)
+                .cancel(3)
+                .load(options.cacheBlocks)
+                .let { it.running + it.waiting },
+        ).isEqualTo(1)
+    }
+}
