Read settings files against the schema and run operator commands from one program

Cause: the program had no entry point, and nothing checked a settings file before a part of an instance was started.

Weighed: args4j's own sub-command handler ties each command to a class with a run method; a table of commands as data classes with function types keeps to the shape, and args4j still parses each command's options. The INI library does not tell lines, so the lines are looked up in the text afterwards rather than parsing the format again.

Change: readSettingsFile reports every fault of a file at once with file, line, section, key, what was found and what was expected; rules between keys (lease renewal, drain against the longest request, and so on) are a function type.

--- /dev/null
+++ b/command/src/main/kotlin/org/mulberrypin/command/AllCommands.kt
@@ -0,0 +1,14 @@
+package org.mulberrypin.command
+
+/** The commands of the program, in the order of the help. */
+public val allCommands: List<Command> =
+    listOf(
+        checkSettingsCommand,
+        configurationShowCommand,
+        configurationPatchCommand,
+        configurationHistoryCommand,
+        keyGrantCommand,
+        keyWithdrawCommand,
+        statusCommand,
+        explainCommand,
+    )
--- /dev/null
+++ b/command/src/main/kotlin/org/mulberrypin/command/HistoryOptions.kt
@@ -0,0 +1,9 @@
+package org.mulberrypin.command
+
+import org.kohsuke.args4j.Option
+
+/** Options of `configuration history`. */
+internal class HistoryOptions : OperatorOptions() {
+    @field:Option(name = "--after", metaVar = "VERSION", usage = "only patches that led to a later version")
+    var after: Long = 0
+}
--- /dev/null
+++ b/command/src/main/kotlin/org/mulberrypin/command/KeyWithdrawOptions.kt
@@ -0,0 +1,9 @@
+package org.mulberrypin.command
+
+import org.kohsuke.args4j.Argument
+
+/** Options of `key withdraw`. */
+internal class KeyWithdrawOptions : OperatorOptions() {
+    @field:Argument(required = true, metaVar = "NAME", usage = "name by which operators know the key")
+    var name: String = ""
+}
--- /dev/null
+++ b/command/src/main/kotlin/org/mulberrypin/command/OperatorOptions.kt
@@ -0,0 +1,17 @@
+package org.mulberrypin.command
+
+import org.kohsuke.args4j.Option
+
+/** Options of every command that asks a running instance. */
+internal open class OperatorOptions : CommandOptions {
+    @field:Option(name = "--address", required = true, metaVar = "HOST:PORT", usage = "address of an entry instance")
+    var address: String = ""
+
+    @field:Option(
+        name = "--operator-key-file",
+        required = true,
+        metaVar = "FILE",
+        usage = "file that holds the operator key",
+    )
+    var keyFile: String = ""
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/org/mulberrypin/runtime/settings/EntrySettingsFile.kt
@@ -0,0 +1,9 @@
+package org.mulberrypin.runtime.settings
+
+import org.mulberrypin.schema.generated.EntrySettings
+import org.mulberrypin.schema.generated.entrySettingsSections
+import java.nio.file.Path
+
+/** Reads the settings file of an entry instance and checks it against the schema and the rules between keys. */
+public fun readEntrySettings(path: Path): SettingsOutcome<EntrySettings> =
+    readSettingsFile(path, entrySettingsSections, EntrySettings.serializer(), ::checkEntrySettings)
--- /dev/null
+++ b/runtime/src/main/kotlin/org/mulberrypin/runtime/settings/SettingsValueCheck.kt
@@ -0,0 +1,125 @@
+/**
+ * Checks the value of a single key against the schema.
+ */
+package org.mulberrypin.runtime.settings
+
+import kotlinx.serialization.json.JsonPrimitive
+import org.mulberrypin.schema.SettingsField
+import org.mulberrypin.schema.SettingsFieldKind
+import java.math.BigDecimal
+
+/** Checks [value] as the value of [field]. */
+internal fun checkSettingsValue(
+    field: SettingsField,
+    value: String,
+): SettingsValue =
+    when (field.kind) {
+        SettingsFieldKind.TEXT -> checkText(field, value)
+        SettingsFieldKind.SWITCH -> checkSwitch(value)
+        SettingsFieldKind.WHOLE_NUMBER -> checkNumber(field, value, value.toIntOrNull())
+        SettingsFieldKind.LONG_NUMBER -> checkNumber(field, value, value.toLongOrNull())
+        SettingsFieldKind.FRACTION -> checkNumber(field, value, value.toDoubleOrNull()?.takeIf(Double::isFinite))
+    }
+
+/** Says in words what [field] accepts. */
+internal fun SettingsField.expectation(): String =
+    when (kind) {
+        SettingsFieldKind.SWITCH -> SWITCH_EXPECTATION
+
+        SettingsFieldKind.TEXT -> when {
+            unit == ADDRESS_UNIT -> ADDRESS_EXPECTATION
+            WORD_SEPARATOR in unit -> "one of ${unit.split(WORD_SEPARATOR).joinToString(", ")}"
+            else -> "a text"
+        }
+
+        SettingsFieldKind.WHOLE_NUMBER, SettingsFieldKind.LONG_NUMBER -> numberExpectation("a whole number")
+
+        SettingsFieldKind.FRACTION -> numberExpectation("a number")
+    }
+
+private fun SettingsField.numberExpectation(number: String): String {
+    val noun = if (unit.isEmpty()) number else "$number ($unit)"
+    return when {
+        minimum.isEmpty() && maximum.isEmpty() -> noun
+        maximum.isEmpty() -> "$noun of at least $minimum"
+        minimum.isEmpty() -> "$noun of at most $maximum"
+        else -> "$noun from $minimum to $maximum"
+    }
+}
+
+private fun checkText(
+    field: SettingsField,
+    value: String,
+): SettingsValue =
+    when {
+        field.required && value.isEmpty() -> {
+            SettingsValue.Refused(SettingsFaultKind.WRONG_KIND, field.expectation())
+        }
+
+        field.unit == ADDRESS_UNIT && !isAddress(value) -> {
+            SettingsValue.Refused(SettingsFaultKind.WRONG_ADDRESS, field.expectation())
+        }
+
+        WORD_SEPARATOR in field.unit && value !in field.unit.split(WORD_SEPARATOR) -> {
+            SettingsValue.Refused(SettingsFaultKind.UNKNOWN_WORD, field.expectation())
+        }
+
+        else -> {
+            SettingsValue.Accepted(JsonPrimitive(value))
+        }
+    }
+
+private fun checkSwitch(value: String): SettingsValue =
+    value.toBooleanStrictOrNull()?.let { switch -> SettingsValue.Accepted(JsonPrimitive(switch)) }
+        ?: SettingsValue.Refused(SettingsFaultKind.WRONG_KIND, SWITCH_EXPECTATION)
+
+private fun checkNumber(
+    field: SettingsField,
+    value: String,
+    number: Number?,
+): SettingsValue =
+    when {
+        number != null && !isInRange(field, value) -> {
+            SettingsValue.Refused(SettingsFaultKind.OUTSIDE_RANGE, field.expectation())
+        }
+
+        number != null -> {
+            SettingsValue.Accepted(JsonPrimitive(number))
+        }
+
+        value.toBigDecimalOrNull() != null && !isInRange(field, value) -> {
+            SettingsValue.Refused(SettingsFaultKind.OUTSIDE_RANGE, field.expectation())
+        }
+
+        numberWithUnit.matches(value) -> {
+            SettingsValue.Refused(SettingsFaultKind.WRONG_UNIT, "${field.expectation()}, written without a unit")
+        }
+
+        else -> {
+            SettingsValue.Refused(SettingsFaultKind.WRONG_KIND, field.expectation())
+        }
+    }
+
+private fun isInRange(
+    field: SettingsField,
+    value: String,
+): Boolean {
+    val number = BigDecimal(value)
+    val isLargeEnough = field.minimum.isEmpty() || number >= BigDecimal(field.minimum)
+    val isSmallEnough = field.maximum.isEmpty() || number <= BigDecimal(field.maximum)
+    return isLargeEnough && isSmallEnough
+}
+
+/** Tells whether [value] is an address as host:port; an IPv6 number stands in brackets. */
+public fun isAddress(value: String): Boolean =
+    addressForm.matchEntire(value)?.let { match -> match.groupValues[1].toIntOrNull() in FIRST_PORT..LAST_PORT }
+        ?: false
+
+private const val ADDRESS_UNIT = "host:port"
+private const val WORD_SEPARATOR = "|"
+private const val FIRST_PORT = 1
+private const val LAST_PORT = 65_535
+private const val ADDRESS_EXPECTATION = "an address as host:port with a port from $FIRST_PORT to $LAST_PORT"
+private const val SWITCH_EXPECTATION = "true or false"
+private val numberWithUnit = Regex("""[+-]?\d+(\.\d+)?\s*[A-Za-z%]+""")
+private val addressForm = Regex("""(?:\[[0-9A-Fa-f:.]+]|[A-Za-z0-9_.-]+):(\d{1,5})""")
