--- /dev/null
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/RunnerSamples.kt
@@ -0,0 +1,163 @@
+/** Starting, refusing and replacing the samples of assigned groups. */
+package org.mulberrypin.decisions.rollouts
+
+import org.mulberrypin.decisions.requests.RequestArrival
+import org.mulberrypin.schema.generated.CompletionRequest
+import org.mulberrypin.schema.generated.GroupResult
+import org.mulberrypin.schema.generated.RoutePriority
+
+/** Starts waiting groups whole, in the order of the policy, while the instance has room for samples. */
+internal fun startGroups(
+    policy: RunnerPolicy,
+    state: RunnerState,
+    nowMilliseconds: Long,
+): RunnerTransition {
+    var current = RunnerTransition(state)
+    while (current.state.samples.size < policy.sampleLimit) {
+        val name = chooseWaiting(policy, current.state) ?: break
+        current = current
+            .then { it.copy(groups = it.groups.put(name, it.groups.getValue(name).copy(started = true))).unchanged() }
+            .then { fillGroup(it, name) }
+            .then { submitDue(policy, it, name, nowMilliseconds) }
+    }
+    return current
+}
+
+private fun RunnerState.unchanged() = RunnerTransition(this)
+
+private fun chooseWaiting(
+    policy: RunnerPolicy,
+    state: RunnerState,
+): GroupName? {
+    val waiting = state.groups.entries.filter { !it.value.started }
+    if (waiting.isEmpty()) {
+        return null
+    }
+    val underWay = state.samples.values
+        .groupingBy { it.group.key.owner }
+        .eachCount()
+    val candidates = waiting.map { (_, group) ->
+        GroupCandidate(group.owner, group.assignment.expectedTokens, group.sequence)
+    }
+    return waiting[policy.order(candidates, underWay)].key
+}
+
+/** Adds samples until as many are finished or under way as the group wants. */
+internal fun fillGroup(
+    state: RunnerState,
+    name: GroupName,
+): RunnerTransition {
+    val group = state.groups[name]?.takeIf { it.started } ?: return RunnerTransition(state)
+    val present = group.finished.size + state.samples.values.count { it.group == name }
+    val missing = (group.assignment.group.samples - present).coerceAtLeast(0)
+    return RunnerTransition((1..missing).fold(state) { current, _ -> addSample(current, name) })
+}
+
+/** Adds a sample that is due at once. */
+internal fun addSample(
+    state: RunnerState,
+    name: GroupName,
+): RunnerState {
+    val group = state.groups.getValue(name)
+    val sample = RunningSample(name, group.nextSample, startedMilliseconds = 0, submitAtMilliseconds = Long.MIN_VALUE)
+    return state.copy(
+        groups = state.groups.put(name, group.copy(nextSample = group.nextSample + 1)),
+        samples = state.samples.put(state.nextRequest, sample),
+        nextRequest = state.nextRequest + 1,
+    )
+}
+
+/** Submits the samples of a group whose time has come. */
+internal fun submitDue(
+    policy: RunnerPolicy,
+    state: RunnerState,
+    name: GroupName,
+    nowMilliseconds: Long,
+): RunnerTransition {
+    val group = state.groups[name] ?: return RunnerTransition(state)
+    val due = state.samples.filterValues {
+        it.group == name && it.submitAtMilliseconds != null && it.submitAtMilliseconds <= nowMilliseconds
+    }
+    val started = due.mapValues { it.value.copy(startedMilliseconds = nowMilliseconds, submitAtMilliseconds = null) }
+    val effects = started.map { (request, sample) -> submission(policy, group, request, sample, nowMilliseconds) }
+    return RunnerTransition(state.copy(samples = state.samples.putAll(started)), effects)
+}
+
+private fun submission(
+    policy: RunnerPolicy,
+    group: AssignedGroup,
+    request: Long,
+    sample: RunningSample,
+    nowMilliseconds: Long,
+): RunnerEffect.Submit {
+    val assignment = group.assignment
+    val limit = assignment.deadlineMilliseconds.takeIf { it > 0 } ?: policy.longestRequestMilliseconds
+    val digest = promptDigest(assignment.group.prompt)
+    val seed = promptDigest(sampleName(sample)) xor policy.seed
+    val arrival = RequestArrival(
+        request = request,
+        name = sampleName(sample),
+        route = assignment.model,
+        team = assignment.team,
+        keyName = assignment.keyName,
+        priority = RoutePriority.ROLLOUT,
+        contentDigest = "rollout-${digest.toULong().toString(HEXADECIMAL)}",
+        prefixDigest = digest,
+        repeatable = true,
+        expectedTokens = assignment.expectedTokens.takeIf { it > 0 } ?: assignment.maxTokens.toLong(),
+        minimumWeightVersion = assignment.minimumWeightVersion,
+        deadlineMilliseconds = nowMilliseconds + limit,
+        seed = seed,
+    )
+    val content = CompletionRequest(
+        model = assignment.model,
+        prompt = assignment.group.prompt,
+        maxTokens = assignment.maxTokens.takeIf { it > 0 },
+        seed = seed,
+        stream = true,
+    )
+    return RunnerEffect.Submit(arrival, content)
+}
+
+private const val HEXADECIMAL = 16
+
+/** The name of a sample, which differs between all samples: the fencing number differs between holders of a step. */
+internal fun sampleName(sample: RunningSample): String =
+    with(sample.group) {
+        "${key.team}/${key.trainer}/${key.step}/$group/$fencingNumber-$attempt-${sample.number}"
+    }
+
+/** Submits a sample again after a pause; it was not run. */
+internal fun postponeSample(
+    state: RunnerState,
+    request: Long,
+    waitMilliseconds: Long,
+    nowMilliseconds: Long,
+): RunnerTransition {
+    val sample = state.samples[request] ?: return RunnerTransition(state)
+    val postponed = sample.copy(submitAtMilliseconds = nowMilliseconds + waitMilliseconds.coerceAtLeast(1))
+    return RunnerTransition(state.copy(samples = state.samples.put(request, postponed)))
+}
+
+/** Drops a failed sample and starts another in its place, or gives the group back to its holder. */
+internal fun failSample(
+    policy: RunnerPolicy,
+    state: RunnerState,
+    request: Long,
+    reason: String,
+    nowMilliseconds: Long,
+): RunnerTransition {
+    val name = state.samples[request]?.group ?: return RunnerTransition(state)
+    val group = state.groups[name] ?: return RunnerTransition(state)
+    val next = state.copy(
+        samples = state.samples.remove(request),
+        groups = state.groups.put(name, group.copy(failures = group.failures + 1)),
+    )
+    return if (group.failures + 1 >= policy.sampleFailureLimit) {
+        endGroup(next, name, GroupResult(failure = reason))
+    } else {
+        RunnerTransition(next)
+            .then { fillGroup(it, name) }
+            .then { submitDue(policy, it, name, nowMilliseconds) }
+    }
+}
--- /dev/null
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepAssignments.kt
@@ -0,0 +1,125 @@
+/** Which group goes to which instance next. */
+package org.mulberrypin.decisions.rollouts
+
+import kotlinx.collections.immutable.persistentMapOf
+import org.mulberrypin.schema.generated.GroupChange
+
+/** Characters of finished groups that wait for one trainer; above it no further group of the step is started. */
+public const val READY_CHARACTER_LIMIT: Long = 16_000_000
+
+/** Assigns waiting groups until the limits of all steps are reached or none waits. */
+internal fun assignGroups(
+    policy: StepPolicy,
+    state: StepState,
+    nowMilliseconds: Long,
+): StepTransition {
+    var current = state
+    val effects = mutableListOf<StepEffect>()
+    while (current.instances.isNotEmpty()) {
+        val choice = chooseGroup(policy, current, nowMilliseconds) ?: break
+        val assigned = startAttempt(current, choice, nowMilliseconds)
+        current = assigned.state
+        effects += assigned.effects
+    }
+    return StepTransition(current, effects)
+}
+
+/** A group of a held step that could be started, and what it is expected to take. */
+internal data class GroupChoice(
+    val step: HeldStep,
+    val group: Int,
+    val expectedTokens: Long,
+)
+
+private fun chooseGroup(
+    policy: StepPolicy,
+    state: StepState,
+    nowMilliseconds: Long,
+): GroupChoice? {
+    val choices = state.held.values
+        .filter { hasRoom(policy, it) }
+        .flatMap { step -> choicesOf(state, step, nowMilliseconds) }
+    if (choices.isEmpty()) {
+        return null
+    }
+    val candidates = choices.map { GroupCandidate(it.step.key.owner, it.expectedTokens, it.group.toLong()) }
+    val underWay = state.held.values
+        .groupBy { it.key.owner }
+        .mapValues { (_, steps) -> steps.sumOf { it.samplesUnderWay } }
+    return choices[policy.order(candidates, underWay)]
+}
+
+private fun hasRoom(
+    policy: StepPolicy,
+    step: HeldStep,
+): Boolean =
+    step.waiting.isNotEmpty() &&
+        step.samplesUnderWay < policy.inFlightSamples &&
+        step.readyCharacters < READY_CHARACTER_LIMIT
+
+private fun choicesOf(
+    state: StepState,
+    step: HeldStep,
+    nowMilliseconds: Long,
+): List<GroupChoice> =
+    step.waiting.entries
+        .filter { it.value.notBeforeMilliseconds <= nowMilliseconds }
+        .map { GroupChoice(step, it.key, state.expectedTokens(step, it.key)) }
+
+/** Tokens that the longest sample of a group is expected to have; 0 when nothing is known. */
+internal fun StepState.expectedTokens(
+    step: HeldStep,
+    group: Int,
+): Long = histories[step.key.owner]?.predictTokens(step.promptDigests[group]) ?: 0
+
+/** Starts a further attempt at a group on the instance with the fewest samples under way for this holder. */
+internal fun startAttempt(
+    state: StepState,
+    choice: GroupChoice,
+    nowMilliseconds: Long,
+): StepTransition {
+    val (step, group) = choice
+    val running = step.running[group]
+    val avoided = running
+        ?.attempts
+        ?.values
+        ?.map { it.instance }
+        .orEmpty()
+        .toSet()
+    val instance = chooseInstance(state, choice, avoided)
+    val granted = step.additionalSamplesLeft.coerceAtMost(ADDITIONAL_SAMPLES_PER_GROUP)
+    val number = step.nextAttempt
+    val attempt = GroupAttempt(instance, nowMilliseconds, granted)
+    val faults = running?.faults ?: step.waiting[group]?.faults ?: 0
+    val attempts = running?.attempts ?: persistentMapOf()
+    val next = step.copy(
+        waiting = step.waiting.remove(group),
+        running = step.running.put(group, RunningGroup(faults, attempts.put(number, attempt))),
+        nextAttempt = number + 1,
+        additionalSamplesLeft = step.additionalSamplesLeft - granted,
+    )
+    val assignment = assignmentOf(next, group, number, GroupChange.START)
+        .copy(expectedTokens = choice.expectedTokens, additionalSamples = granted)
+    return StepTransition(state.put(next), listOf(StepEffect.AssignGroup(instance, assignment)))
+}
+
+private const val ADDITIONAL_SAMPLES_PER_GROUP = 1
+
+private fun chooseInstance(
+    state: StepState,
+    choice: GroupChoice,
+    avoided: Set<String>,
+): String {
+    val load = mutableMapOf<String, Int>()
+    for (step in state.held.values) {
+        for ((group, running) in step.running) {
+            running.attempts.values.forEach { load.merge(it.instance, step.request.groups[group].samples, Int::plus) }
+        }
+    }
+    val names = state.instances.keys
+    val digest = choice.step.promptDigests[choice.group]
+    return names
+        .minus(avoided)
+        .ifEmpty { names }
+        .minWith(compareBy<String> { load[it] ?: 0 }.thenBy { promptDigest(it) xor digest })
+}
--- /dev/null
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepDecision.kt
@@ -0,0 +1,82 @@
+/**
+ * The decisions about the steps of trainers: who holds a step, which groups are generated where, and which batch a
+ * trainer gets. A batch is handed out only after the commit that fixed it, and that commit is conditional on the lease
+ * of the step; so two instances that both believe they hold a step cannot hand out different batches.
+ */
+package org.mulberrypin.decisions.rollouts
+
+import kotlinx.collections.immutable.toPersistentMap
+import org.mulberrypin.decisions.Decision
+
+/** Creates the decision about steps under [policy]. */
+public fun stepDecision(policy: StepPolicy): Decision<StepState, StepEvent, StepEffect> =
+    { state, event, nowMilliseconds ->
+        decideStep(policy, state, event, nowMilliseconds)
+            .andThen { assignGroups(policy, it, nowMilliseconds) }
+    }
+
+private fun decideStep(
+    policy: StepPolicy,
+    state: StepState,
+    event: StepEvent,
+    nowMilliseconds: Long,
+): StepTransition =
+    when (event) {
+        is StepEvent.Asked -> {
+            val step = state.held[event.ask.key]
+            if (step == null) {
+                lookUp(state, event.ask.key, event.ask)
+            } else {
+                takeAsk(policy, state, step, event.ask, nowMilliseconds)
+            }
+        }
+
+        is StepEvent.ViewRead -> {
+            val step = state.held[event.key]
+            if (step == null) {
+                endLookup(policy, state, event.key, event.view, nowMilliseconds)
+            } else {
+                checkHeldStep(policy, state, step, event.view, nowMilliseconds)
+            }
+        }
+
+        is StepEvent.OpeningEnded -> {
+            endOpening(policy, state, event, nowMilliseconds)
+        }
+
+        is StepEvent.WriteEnded -> {
+            endWrite(policy, state, event, nowMilliseconds)
+        }
+
+        is StepEvent.GroupEnded -> {
+            endGroup(policy, state, event, nowMilliseconds)
+        }
+
+        is StepEvent.PassOnEnded -> {
+            StepTransition(state, listOf(StepEffect.Answer(event.ask, event.answer ?: askAgain)))
+        }
+
+        is StepEvent.InstancesChanged -> {
+            StepTransition(state.copy(instances = usable(policy, state, event)))
+        }
+
+        is StepEvent.KeysChanged -> {
+            withdrawKeys(policy, state, event.keys)
+        }
+
+        is StepEvent.Drain -> {
+            drain(policy, state)
+        }
+
+        is StepEvent.Tick -> {
+            upkeep(policy, state, nowMilliseconds)
+        }
+    }
+
+private fun usable(
+    policy: StepPolicy,
+    state: StepState,
+    event: StepEvent.InstancesChanged,
+) = event.instances
+    .filterKeys { !state.draining || it != policy.instance }
+    .toPersistentMap()
--- /dev/null
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepKey.kt
@@ -0,0 +1,12 @@
+package org.mulberrypin.decisions.rollouts
+
+/** Identifies a step of a trainer of a team. */
+public data class StepKey(
+    val team: String,
+    val trainer: String,
+    val step: String,
+) {
+    /** Identifies the trainer among the trainers of all teams. */
+    public val owner: String
+        get() = "$team/$trainer"
+}
--- /dev/null
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepOpenings.kt
@@ -0,0 +1,97 @@
+/** What follows when this instance has become the holder of a step, or has not. */
+package org.mulberrypin.decisions.rollouts
+
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentMap
+import org.mulberrypin.schema.generated.StepRecord
+import kotlin.math.ceil
+
+internal fun endOpening(
+    policy: StepPolicy,
+    state: StepState,
+    event: StepEvent.OpeningEnded,
+    nowMilliseconds: Long,
+): StepTransition {
+    val lookup = state.lookups[event.key]
+    val opening = lookup?.opening
+    val opened = event.opened
+    return when {
+        lookup == null || opening == null -> {
+            StepTransition(state)
+        }
+
+        event.result == StoreResult.COMMITTED && opened != null -> {
+            val next = state
+                .copy(lookups = state.lookups.remove(event.key))
+                .withoutWatch(event.key)
+                .put(startHolding(policy, opening, opened, lookup, nowMilliseconds))
+            answerOpened(policy, next, opening, lookup, nowMilliseconds)
+        }
+
+        event.result == StoreResult.CONFLICT -> {
+            val again = lookup.copy(opening = null)
+            val next = state.copy(lookups = state.lookups.put(event.key, again))
+            StepTransition(next, listOf(StepEffect.ReadView(event.key)))
+        }
+
+        else -> {
+            answerLookup(state, event.key) { askAgain }
+        }
+    }
+}
+
+private fun answerOpened(
+    policy: StepPolicy,
+    state: StepState,
+    opening: StepOpening,
+    lookup: StepLookup,
+    nowMilliseconds: Long,
+): StepTransition {
+    val how = if (opening.newStep == null) "taken over" else "started"
+    val reason = "The step was $how with fencing number ${opening.lease.record.fencingNumber}."
+    val accepted = lookup.asks.filterIsInstance<TrainerAsk.Open>().map { answerTo(it, askAgain) }
+    val explained = StepEffect.Explain(opening.key, group = "", peer = policy.instance, reason = reason)
+    return StepTransition(state, accepted + explained)
+        .andThen { continueAsks(policy, it, opening.key, nowMilliseconds) }
+}
+
+private fun startHolding(
+    policy: StepPolicy,
+    opening: StepOpening,
+    opened: StepOpened,
+    lookup: StepLookup,
+    nowMilliseconds: Long,
+): HeldStep {
+    val record = opening.record.record
+    val request = opened.request
+    val samples = request.groups.sumOf { it.samples }
+    return HeldStep(
+        key = opening.key,
+        request = request,
+        promptDigests = request.groups.map { promptDigest(it.prompt) },
+        lease = StepLease(opening.lease.version + 1, opening.lease.record.fencingNumber),
+        record = Versioned(if (opening.newStep == null) opening.record.version else 1, record),
+        pace = VersionPace(request.trainerVersion, nowMilliseconds),
+        keyName = request.keyName,
+        waiting = waitingGroups(request.groups.size, record),
+        abandoned = record.abandoned.associate { it.group to it.reason }.toPersistentMap(),
+        frozenBatch = opened.frozenBatch,
+        asks = lookup.asks.filterIsInstance<TrainerAsk.NextBatch>().toPersistentList(),
+        additionalSamplesLeft = ceil(samples * policy.overSamplingRatio).toInt(),
+        lastAskMilliseconds = nowMilliseconds,
+    )
+}
+
+private fun waitingGroups(
+    groups: Int,
+    record: StepRecord,
+) = (0 until groups)
+    .minus(record.delivered.toSet())
+    .minus(record.abandoned.map { it.group }.toSet())
+    .minus(
+        record.frozen
+            ?.groups
+            .orEmpty()
+            .toSet(),
+    ).associateWith { WaitingGroup() }
+    .toPersistentMap()
--- /dev/null
+++ b/service/src/main/kotlin/org/mulberrypin/service/rollouts/Scorer.kt
@@ -0,0 +1,62 @@
+/** Scoring of samples: a function that the rollout part is started with. */
+package org.mulberrypin.service.rollouts
+
+import com.linecorp.armeria.client.WebClient
+import org.mulberrypin.runtime.Fault
+import org.mulberrypin.runtime.FaultKind
+import org.mulberrypin.runtime.Outcome
+import org.mulberrypin.runtime.parseWireJson
+import org.mulberrypin.runtime.wireJson
+import org.mulberrypin.schema.generated.PromptGroup
+import org.mulberrypin.schema.generated.ScoreAnswer
+import org.mulberrypin.schema.generated.ScoreRequest
+import java.time.Duration
+
+/** Scores the text of one sample of a group; blocks the calling duty. */
+public typealias Scorer = (group: PromptGroup, text: String) -> Outcome<Double>
+
+/** Gives every sample the score 0; for trainers that score by themselves. */
+public val unscored: Scorer = { _, _ -> Outcome.Success(0.0) }
+
+/** Scores by a POST of a ScoreRequest to the service at [address], as host:port, under the path /score. */
+public fun httpScorer(
+    address: String,
+    timeoutMilliseconds: Long,
+): Scorer {
+    val client = WebClient
+        .builder("http://$address")
+        .responseTimeout(Duration.ofMillis(timeoutMilliseconds))
+        .build()
+        .blocking()
+    return { group, text ->
+        val request = ScoreRequest(group = group.group, prompt = group.prompt, text = text)
+        try {
+            val answer = client
+                .prepare()
+                .post("/score")
+                .content(com.linecorp.armeria.common.MediaType.JSON, encode(request))
+                .execute()
+            if (answer.status().isSuccess) readScore(answer.contentUtf8(), address) else refusal(address, answer.status())
+        } catch (failure: Exception) {
+            Outcome.Failure(Fault(SCORE_STEP, address, FaultKind.UNKNOWN, failure.message.orEmpty()))
+        }
+    }
+}
+
+private const val SCORE_STEP = "score sample"
+
+private fun encode(request: ScoreRequest) = wireJson.encodeToString(ScoreRequest.serializer(), request)
+
+private fun readScore(
+    content: String,
+    address: String,
+): Outcome<Double> =
+    when (val answer = parseWireJson(content, ScoreAnswer.serializer(), SCORE_STEP, address)) {
+        is Outcome.Success -> Outcome.Success(answer.value.score)
+        is Outcome.Failure -> answer
+    }
+
+private fun refusal(
+    address: String,
+    status: com.linecorp.armeria.common.HttpStatus,
+): Outcome<Double> = Outcome.Failure(Fault(SCORE_STEP, address, FaultKind.REFUSED, "The service answered $status."))
