Rollouts: steps and batches through the duties, leases fenced in the table service

Cause: trainers need each sample exactly once, fresh enough and naming its weight versions. A holder's heartbeat is a row of its own, so that the lease's row changes only with its holder and a commit about a step never races with a renewal; one write renews all steps of an instance. Ruled out: a write for each sample, and a lease row renewed for each step.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepAssignments.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepAssignments.kt
@@ -24,13 +24,6 @@
     return StepTransition(current, effects)
 }
 
-/** A group of a held step that could be started, and what it is expected to take. */
-internal data class GroupChoice(
-    val step: HeldStep,
-    val group: Int,
-    val expectedTokens: Long,
-)
-
 private fun chooseGroup(
     policy: StepPolicy,
     state: StepState,
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepDecision.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepDecision.kt
@@ -23,21 +23,11 @@
 ): StepTransition =
     when (event) {
         is StepEvent.Asked -> {
-            val step = state.held[event.ask.key]
-            if (step == null) {
-                lookUp(state, event.ask.key, event.ask)
-            } else {
-                takeAsk(policy, state, step, event.ask, nowMilliseconds)
-            }
+            decideAsk(policy, state, event.ask, nowMilliseconds)
         }
 
         is StepEvent.ViewRead -> {
-            val step = state.held[event.key]
-            if (step == null) {
-                endLookup(policy, state, event.key, event.view, nowMilliseconds)
-            } else {
-                checkHeldStep(policy, state, step, event.view, nowMilliseconds)
-            }
+            decideView(policy, state, event, nowMilliseconds)
         }
 
         is StepEvent.OpeningEnded -> {
@@ -73,6 +63,30 @@
         }
     }
 
+private fun decideAsk(
+    policy: StepPolicy,
+    state: StepState,
+    ask: TrainerAsk,
+    nowMilliseconds: Long,
+): StepTransition {
+    val step = state.held[ask.key]
+    return if (step == null) lookUp(state, ask.key, ask) else takeAsk(policy, state, step, ask, nowMilliseconds)
+}
+
+private fun decideView(
+    policy: StepPolicy,
+    state: StepState,
+    event: StepEvent.ViewRead,
+    nowMilliseconds: Long,
+): StepTransition {
+    val step = state.held[event.key]
+    return if (step == null) {
+        endLookup(policy, state, event.key, event.view, nowMilliseconds)
+    } else {
+        checkHeldStep(policy, state, step, event.view, nowMilliseconds)
+    }
+}
+
 private fun usable(
     policy: StepPolicy,
     state: StepState,
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepRecordChanges.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepRecordChanges.kt
@@ -6,12 +6,6 @@
 import org.mulberrypin.schema.generated.BatchRecord
 import org.mulberrypin.schema.generated.StepRecord
 
-/** The record after a call of the trainer, and the batch that it freezes, if any. */
-internal data class StepPlan(
-    val record: StepRecord,
-    val batch: Batch?,
-)
-
 /** Why a call that acknowledges [acknowledged] is refused, or null when it is in order. */
 internal fun StepRecord.refusalOf(acknowledged: Long): String? =
     when {
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepResults.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepResults.kt
@@ -15,16 +15,19 @@
     nowMilliseconds: Long,
 ): StepTransition {
     val step = state.held[event.key]?.takeIf { it.lease.fencingNumber == event.fencingNumber }
-    val group = step?.request?.groups?.indexOfFirst { it.group == event.group } ?: -1
-    if (step == null || group < 0 || (group !in step.running && group !in step.waiting)) {
-        return StepTransition(state)
-    }
+    val group = step?.let { openGroup(it, event.group) } ?: return StepTransition(state)
     val samples = event.result?.group?.takeIf { isWhole(step, group, it) }
     val isFresh = samples != null && samples.oldestVersion() >= step.minimumVersion
     val attempt = step.running[group]?.attempts?.get(event.attempt)
     return when {
-        samples != null && isFresh -> takeGroup(state, step, group, event, samples, nowMilliseconds)
-        attempt == null -> StepTransition(state)
+        samples != null && isFresh -> {
+            takeGroup(state, step, group, event, samples, nowMilliseconds)
+        }
+
+        attempt == null -> {
+            StepTransition(state)
+        }
+
         else -> {
             val failed = failAttempt(policy, step, group, event, nowMilliseconds)
             StepTransition(state.put(failed), listOf(explainFailure(event, attempt)))
@@ -32,6 +35,15 @@
     }
 }
 
+/** The index of a group that still needs a result, or null for any other. */
+private fun openGroup(
+    step: HeldStep,
+    name: String,
+): Int? =
+    step.request.groups
+        .indexOfFirst { it.group == name }
+        .takeIf { it in step.running || it in step.waiting }
+
 private fun isWhole(
     step: HeldStep,
     group: Int,
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepUpkeep.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepUpkeep.kt
@@ -112,36 +112,25 @@
     group: Int,
     nowMilliseconds: Long,
 ): StepTransition {
-    val step = state.held[key]
-    val attempt = step
-        ?.running
-        ?.get(group)
+    val step = state.held[key] ?: return StepTransition(state)
+    val attempt = step.running[group]
         ?.attempts
         ?.values
         ?.singleOrNull()
-    val expectedTokens = step?.let { state.expectedTokens(it, group) } ?: 0
-    val expected = state.histories[key.owner]?.predictMilliseconds(expectedTokens)
-    val hasLeft = attempt != null && attempt.instance !in state.instances
-    val isStraggler = attempt != null && expected != null &&
-        nowMilliseconds - attempt.startedMilliseconds > expected * STRAGGLER_FACTOR
-    val samples = step
-        ?.request
-        ?.groups
-        ?.get(group)
-        ?.samples ?: 0
-    val isAffordable = step != null && step.waiting.isEmpty() && step.additionalSamplesLeft >= samples
+    val samples = step.request.groups[group].samples
     return when {
-        step == null || attempt == null || state.instances.size < PARALLEL_ATTEMPT_LIMIT -> {
+        attempt == null || state.instances.size < PARALLEL_ATTEMPT_LIMIT -> {
             StepTransition(state)
         }
 
-        hasLeft -> {
-            startAttempt(state, GroupChoice(step, group, expectedTokens), nowMilliseconds)
+        attempt.instance !in state.instances -> {
+            startAttempt(state, GroupChoice(step, group, state.expectedTokens(step, group)), nowMilliseconds)
         }
 
-        isStraggler && isAffordable -> {
+        step.waiting.isEmpty() && step.additionalSamplesLeft >= samples &&
+            isStraggler(state, step, group, nowMilliseconds - attempt.startedMilliseconds) -> {
             val charged = step.copy(additionalSamplesLeft = step.additionalSamplesLeft - samples)
-            startAttempt(state, GroupChoice(charged, group, expectedTokens), nowMilliseconds)
+            startAttempt(state, GroupChoice(charged, group, state.expectedTokens(step, group)), nowMilliseconds)
         }
 
         else -> {
@@ -150,6 +139,17 @@
     }
 }
 
+private fun isStraggler(
+    state: StepState,
+    step: HeldStep,
+    group: Int,
+    elapsedMilliseconds: Long,
+): Boolean {
+    val history = state.histories[step.key.owner] ?: return false
+    val expected = history.predictMilliseconds(history.predictTokens(step.promptDigests[group])) ?: return false
+    return elapsedMilliseconds > expected * STRAGGLER_FACTOR
+}
+
 /** Ends the holding of steps whose trainer's key was withdrawn; another key of the team can go on with them. */
 internal fun withdrawKeys(
     policy: StepPolicy,
--- a/service/src/main/kotlin/org/mulberrypin/service/rollouts/RolloutInput.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/rollouts/RolloutInput.kt
@@ -37,4 +37,7 @@
     data class Instances(
         val instances: List<InstanceEntry>,
     ) : RolloutInput
+
+    /** This instance starts to shut down. */
+    data object Drain : RolloutInput
 }
--- /dev/null
+++ b/service/src/main/kotlin/org/mulberrypin/service/rollouts/RolloutPolicies.kt
@@ -0,0 +1,33 @@
+/** The policies of the rollout decisions, from the settings of the instance. */
+package org.mulberrypin.service.rollouts
+
+import org.mulberrypin.decisions.rollouts.RunnerPolicy
+import org.mulberrypin.decisions.rollouts.StepPolicy
+import org.mulberrypin.schema.generated.EntrySettings
+import kotlin.math.ceil
+
+internal fun stepPolicyOf(
+    settings: EntrySettings,
+    incarnation: Long,
+): StepPolicy =
+    StepPolicy(
+        instance = settings.instance.name,
+        incarnation = incarnation,
+        batchGroups = settings.rollouts.batchGroups,
+        groupAttemptLimit = settings.rollouts.groupAttemptLimit,
+        overSamplingRatio = settings.rollouts.overSamplingRatio,
+        inFlightSamples = settings.rollouts.inFlightSamples,
+        leaseMilliseconds = ceil(settings.leases.durationMilliseconds * (1 + settings.leases.clockRateBound)).toLong(),
+        renewalMilliseconds = settings.leases.renewalMilliseconds,
+    )
+
+internal fun runnerPolicyOf(
+    settings: EntrySettings,
+    incarnation: Long,
+): RunnerPolicy =
+    RunnerPolicy(
+        sampleLimit = settings.rollouts.inFlightSamples,
+        sampleFailureLimit = settings.rollouts.groupAttemptLimit,
+        longestRequestMilliseconds = settings.requests.longestRequestMilliseconds,
+        seed = incarnation,
+    )
--- a/service/src/main/kotlin/org/mulberrypin/service/rollouts/Scorer.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/rollouts/Scorer.kt
@@ -2,6 +2,8 @@
 package org.mulberrypin.service.rollouts
 
 import com.linecorp.armeria.client.WebClient
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.MediaType
 import org.mulberrypin.runtime.Fault
 import org.mulberrypin.runtime.FaultKind
 import org.mulberrypin.runtime.Outcome
@@ -34,9 +36,10 @@
             val answer = client
                 .prepare()
                 .post("/score")
-                .content(com.linecorp.armeria.common.MediaType.JSON, encode(request))
+                .content(MediaType.JSON, encode(request))
                 .execute()
-            if (answer.status().isSuccess) readScore(answer.contentUtf8(), address) else refusal(address, answer.status())
+            val status = answer.status()
+            if (status.isSuccess) readScore(answer.contentUtf8(), address) else refusal(address, status)
         } catch (failure: Exception) {
             Outcome.Failure(Fault(SCORE_STEP, address, FaultKind.UNKNOWN, failure.message.orEmpty()))
         }
@@ -58,5 +61,5 @@
 
 private fun refusal(
     address: String,
-    status: com.linecorp.armeria.common.HttpStatus,
+    status: HttpStatus,
 ): Outcome<Double> = Outcome.Failure(Fault(SCORE_STEP, address, FaultKind.REFUSED, "The service answered $status."))
--- a/service/src/main/kotlin/org/mulberrypin/service/rollouts/StoreTask.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/rollouts/StoreTask.kt
@@ -1,8 +1,57 @@
+/** What the step-store duty does. Its outcomes go back to the step duty, so it never decides anything by itself. */
 package org.mulberrypin.service.rollouts
 
 import org.mulberrypin.decisions.rollouts.StepEffect
+import org.mulberrypin.decisions.rollouts.StepEvent
+import org.mulberrypin.decisions.rollouts.StoreResult
+import org.mulberrypin.runtime.Outcome
 
 /** What the step-store duty takes from its ring. */
 internal data class StoreTask(
     val effect: StepEffect,
 )
+
+/** Carries [task] out with blocking calls and delivers its outcome. */
+internal fun carryOutStoreTask(
+    store: StepStore,
+    task: StoreTask,
+    inbox: RolloutInbox,
+) {
+    val event = when (val effect = task.effect) {
+        is StepEffect.ReadView -> {
+            val view = (store.readView(effect.key) as? Outcome.Success)?.value
+            StepEvent.ViewRead(effect.key, view)
+        }
+
+        is StepEffect.Open -> {
+            val (result, opened) = store.open(effect.opening)
+            StepEvent.OpeningEnded(effect.opening.key, result, opened)
+        }
+
+        is StepEffect.Write -> {
+            StepEvent.WriteEnded(effect.write, store.write(effect.write))
+        }
+
+        is StepEffect.Renew -> {
+            store.renew(effect.heartbeat).let { null }
+        }
+
+        is StepEffect.Release -> {
+            store.release(effect.key, effect.lease).let { null }
+        }
+
+        else -> {
+            null
+        }
+    }
+    event?.let { inbox.deliver(RolloutInput.Step(it)) }
+}
+
+/** The event that ends an operation which the step-store duty could not take. */
+internal fun outcomeOfRefused(effect: StepEffect): StepEvent? =
+    when (effect) {
+        is StepEffect.ReadView -> StepEvent.ViewRead(effect.key, view = null)
+        is StepEffect.Open -> StepEvent.OpeningEnded(effect.opening.key, StoreResult.FAILED, opened = null)
+        is StepEffect.Write -> StepEvent.WriteEnded(effect.write, StoreResult.FAILED)
+        else -> null
+    }
