--- /dev/null
+++ b/service/src/main/kotlin/org/mulberrypin/service/configuration/OperatorRoutes.kt
@@ -0,0 +1,147 @@
+/**
+ * The HTTP interface through which operators read and change the configuration. Its threads only translate: patches go
+ * to the configuration duty, reads of the history to the store duty.
+ */
+package org.mulberrypin.service.configuration
+
+import com.linecorp.armeria.common.AggregatedHttpRequest
+import com.linecorp.armeria.common.HttpRequest
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.server.HttpService
+import com.linecorp.armeria.server.ServerBuilder
+import com.linecorp.armeria.server.ServiceRequestContext
+import kotlinx.serialization.SerializationStrategy
+import org.mulberrypin.decisions.configuration.SubmissionResult
+import org.mulberrypin.runtime.Fault
+import org.mulberrypin.runtime.Outcome
+import org.mulberrypin.runtime.parseWireJson
+import org.mulberrypin.runtime.wireJson
+import org.mulberrypin.schema.generated.Configuration
+import org.mulberrypin.schema.generated.ConfigurationHistory
+import org.mulberrypin.schema.generated.ConfigurationPatch
+import org.mulberrypin.schema.generated.ErrorAnswer
+import org.mulberrypin.schema.generated.ErrorDetail
+import org.mulberrypin.schema.generated.PatchAnswer
+import java.util.concurrent.CompletableFuture
+
+/** Builds the operators' routes from the functions that serve them. */
+internal fun operatorRoutes(
+    authenticateOperator: (String?) -> Boolean,
+    current: () -> Configuration,
+    submit: (ConfigurationPatch, (SubmissionResult) -> Unit) -> Unit,
+    offerStoreWork: (StoreWork) -> Boolean,
+): (ServerBuilder) -> Unit =
+    { server ->
+        val guard = { service: (ServiceRequestContext, HttpRequest) -> HttpResponse ->
+            HttpService { requestContext, request ->
+                val admitted = authenticateOperator(request.headers().get("authorization"))
+                if (admitted) service(requestContext, request) else unauthorized()
+            }
+        }
+        server.route().get(CONFIGURATION_PATH).build(
+            guard { _, _ -> json(HttpStatus.OK, Configuration.serializer(), current()) },
+        )
+        server.route().patch(CONFIGURATION_PATH).build(guard { _, request -> patch(request, submit) })
+        server.route().get("$CONFIGURATION_PATH/history").build(
+            guard { requestContext, _ -> history(requestContext.queryParam("after"), offerStoreWork) },
+        )
+    }
+
+private fun patch(
+    request: HttpRequest,
+    submit: (ConfigurationPatch, (SubmissionResult) -> Unit) -> Unit,
+): HttpResponse = HttpResponse.of(request.aggregate().thenCompose { submitParsed(it, submit) })
+
+private fun submitParsed(
+    request: AggregatedHttpRequest,
+    submit: (ConfigurationPatch, (SubmissionResult) -> Unit) -> Unit,
+): CompletableFuture<HttpResponse> {
+    val answer = CompletableFuture<HttpResponse>()
+    when (val patch = parseWireJson(request.contentUtf8(), ConfigurationPatch.serializer(), PATCH_STEP, "operator")) {
+        is Outcome.Success -> submit(patch.value) { result -> answer.complete(patchResponse(result)) }
+        is Outcome.Failure -> answer.complete(errorResponse(HttpStatus.BAD_REQUEST, patch.fault, "not_run"))
+    }
+    return answer
+}
+
+private fun history(
+    after: String?,
+    offerStoreWork: (StoreWork) -> Boolean,
+): HttpResponse {
+    val answer = CompletableFuture<HttpResponse>()
+    val work = StoreWork.History(after?.toLongOrNull() ?: 0) { outcome ->
+        answer.complete(
+            when (outcome) {
+                is Outcome.Success -> {
+                    json(HttpStatus.OK, ConfigurationHistory.serializer(), ConfigurationHistory(outcome.value))
+                }
+
+                is Outcome.Failure -> {
+                    errorResponse(HttpStatus.SERVICE_UNAVAILABLE, outcome.fault, "not_run")
+                }
+            },
+        )
+    }
+    if (!offerStoreWork(work)) answer.complete(HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE))
+    return HttpResponse.of(answer)
+}
+
+private fun patchResponse(result: SubmissionResult): HttpResponse {
+    val status = when (result) {
+        is SubmissionResult.Accepted -> HttpStatus.OK
+        is SubmissionResult.Stale -> HttpStatus.CONFLICT
+        is SubmissionResult.Invalid -> HttpStatus.UNPROCESSABLE_ENTITY
+        is SubmissionResult.NotRun -> HttpStatus.SERVICE_UNAVAILABLE
+        is SubmissionResult.Unconfirmed -> HttpStatus.GATEWAY_TIMEOUT
+    }
+    return json(status, PatchAnswer.serializer(), patchAnswer(result))
+}
+
+private fun patchAnswer(result: SubmissionResult): PatchAnswer =
+    when (result) {
+        is SubmissionResult.Accepted -> {
+            PatchAnswer(true, result.version - 1, result.version, inForce = result.inForce)
+        }
+
+        is SubmissionResult.Stale -> {
+            val fault = "expected_version: expected ${result.currentVersion}, found ${result.expectedVersion}"
+            PatchAnswer(false, result.expectedVersion, result.currentVersion, listOf(fault))
+        }
+
+        is SubmissionResult.Invalid -> {
+            PatchAnswer(false, result.expectedVersion, result.currentVersion, result.faults)
+        }
+
+        is SubmissionResult.NotRun -> {
+            PatchAnswer(false, currentVersion = result.currentVersion, faults = listOf("Not run. ${result.reason}"))
+        }
+
+        is SubmissionResult.Unconfirmed -> {
+            PatchAnswer(false, result.version - 1, result.version, listOf("May have been committed. ${result.reason}"))
+        }
+    }
+
+private fun unauthorized(): HttpResponse {
+    val detail = ErrorDetail("Expected the operators' key as a bearer token.", "unauthorized", "not_run")
+    return json(HttpStatus.UNAUTHORIZED, ErrorAnswer.serializer(), ErrorAnswer(detail))
+}
+
+private fun errorResponse(
+    status: HttpStatus,
+    fault: Fault,
+    run: String,
+): HttpResponse {
+    val detail = ErrorDetail(fault.detail, fault.kind.name.lowercase(), run, fault.step, fault.peer)
+    return json(status, ErrorAnswer.serializer(), ErrorAnswer(detail))
+}
+
+private fun <Message> json(
+    status: HttpStatus,
+    serializer: SerializationStrategy<Message>,
+    message: Message,
+): HttpResponse = HttpResponse.of(status, MediaType.JSON_UTF_8, wireJson.encodeToString(serializer, message))
+
+private const val CONFIGURATION_PATH = "/operator/configuration"
+private const val PATCH_STEP = "configuration patch"
