--- /dev/null
+++ b/service/src/main/kotlin/org/mulberrypin/service/CallerServer.kt
@@ -0,0 +1,55 @@
+/** The HTTP server for callers, trainers, operators, the balancer and the collection of metrics. */
+package org.mulberrypin.service
+
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.server.Server
+import com.linecorp.armeria.server.ServerBuilder
+import org.mulberrypin.service.frontend.FrontEndParts
+import org.mulberrypin.service.frontend.arrivalFactory
+import org.mulberrypin.service.frontend.completionRoutes
+import org.mulberrypin.service.frontend.plainServiceRoutes
+import java.net.InetSocketAddress
+import java.time.Duration
+
+internal fun callerServer(
+    context: EntryContext,
+    parts: EntryParts,
+    readiness: Readiness,
+    scrape: () -> String,
+): Server {
+    val frontEnd =
+        FrontEndParts(
+            requests = parts.requests,
+            authenticate = parts.configuration.authenticate,
+            configuration = parts.configuration.current,
+            certain = parts.configuration.certain,
+            arrivals = arrivalFactory(context),
+        )
+    val instance = context.settings.instance
+    val builder = Server.builder().http(InetSocketAddress(instance.host, instance.port))
+    builder.requestTimeout(Duration.ZERO).maxRequestLength(LARGEST_REQUEST_BYTES)
+    completionRoutes(frontEnd)(builder)
+    plainServiceRoutes(frontEnd)(builder)
+    parts.configuration.routes(builder)
+    parts.rollouts.routes(builder)
+    healthRoutes(builder, readiness, parts.configuration.certain, scrape)
+    return builder.build()
+}
+
+private fun healthRoutes(
+    builder: ServerBuilder,
+    readiness: Readiness,
+    certain: () -> Boolean,
+    scrape: () -> String,
+) {
+    builder.service("/health") { _, _ -> HttpResponse.of(HttpStatus.OK) }
+    builder.service("/ready") { _, _ ->
+        HttpResponse.of(if (readiness.get() && certain()) HttpStatus.OK else HttpStatus.SERVICE_UNAVAILABLE)
+    }
+    builder.service("/metrics") { _, _ -> HttpResponse.of(HttpStatus.OK, MediaType.PLAIN_TEXT_UTF_8, scrape()) }
+}
+
+/** Largest request body, in bytes. */
+private const val LARGEST_REQUEST_BYTES = 16L * 1024 * 1024
--- a/service/src/main/kotlin/org/mulberrypin/service/frontend/CallerGate.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/frontend/CallerGate.kt
@@ -9,6 +9,8 @@
 import com.linecorp.armeria.common.HttpHeaderNames
 import com.linecorp.armeria.common.HttpStatus
 import org.mulberrypin.decisions.requests.Caller
+import org.mulberrypin.decisions.requests.Refusal
+import org.mulberrypin.decisions.requests.RequestReply
 import org.mulberrypin.schema.generated.KeyRole
 
 /** Who sends a request, or the answer that refuses it. */
@@ -24,13 +26,17 @@
     ) : CallerGate
 }
 
-/** Decides who sends [call]. A request without a key goes on for no team, which only routes open to all admit. */
+/**
+ * Decides who sends [call]; refuses it when the instance cannot tell whether its configuration is in force. A request without a key goes on for no team, which only
+ * routes open to all admit.
+ */
 internal fun callerGate(
     call: AggregatedHttpRequest,
-    authenticate: (String?) -> Caller?,
+    parts: FrontEndParts,
 ): CallerGate {
+    if (!parts.certain()) return CallerGate.Refused(refusalResponse(uncertain))
     val header = call.headers().get(HttpHeaderNames.AUTHORIZATION) ?: return CallerGate.Admitted(nobody)
-    val caller = authenticate(header)
+    val caller = parts.authenticate(header)
     return when {
         caller == null -> {
             refused(HttpStatus.UNAUTHORIZED, "unknown_key", "The key is unknown or was withdrawn.")
@@ -63,4 +69,7 @@
     message: String,
 ): CallerGate = CallerGate.Refused(notRunResponse(status, type, message))
 
+private val uncertain =
+    RequestReply.NotRun(Refusal.CONFIGURATION_UNCERTAIN, OVERLOADED_RETRY_MILLISECONDS, step = "front end", peer = "")
+
 private val nobody = Caller(team = "", keyName = "", role = KeyRole.CALLER)
--- a/service/src/main/kotlin/org/mulberrypin/service/frontend/FrontEndParts.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/frontend/FrontEndParts.kt
@@ -9,5 +9,6 @@
     val requests: RequestPart,
     val authenticate: (String?) -> Caller?,
     val configuration: () -> Configuration,
+    val certain: () -> Boolean,
     val arrivals: ArrivalFactory,
 )
--- a/service/src/main/kotlin/org/mulberrypin/service/peers/GrpcPeerClient.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/peers/GrpcPeerClient.kt
@@ -27,6 +27,7 @@
         nextBatch = peerCall(channels, PeerMethods.nextBatch),
         explain = peerCall(channels, PeerMethods.explain),
         reportCrash = peerCall(channels, PeerMethods.reportCrash),
+        copyUsage = peerCall(channels, PeerMethods.copyUsage),
     )
 }
 
@@ -73,6 +74,7 @@
         .addMethod(PeerMethods.nextBatch)
         .addMethod(PeerMethods.explain)
         .addMethod(PeerMethods.reportCrash)
+        .addMethod(PeerMethods.copyUsage)
         .build()
 
 private class OutcomeObserver<Answer : Any>(
--- a/service/src/main/kotlin/org/mulberrypin/service/peers/PeerClient.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/peers/PeerClient.kt
@@ -9,6 +9,8 @@
 import org.mulberrypin.schema.generated.ExplanationQuestion
 import org.mulberrypin.schema.generated.GroupAssignment
 import org.mulberrypin.schema.generated.GroupResult
+import org.mulberrypin.schema.generated.UsageCheckpoint
+import org.mulberrypin.schema.generated.UsageCopyAnswer
 import org.mulberrypin.schema.generated.VersionAnnouncement
 import org.mulberrypin.schema.generated.VersionConfirmation
 
@@ -22,6 +24,7 @@
     val nextBatch: PeerCall<BatchRequest, BatchAnswer>,
     val explain: PeerCall<ExplanationQuestion, ExplanationAnswer>,
     val reportCrash: PeerCall<CrashReport, CrashReportAnswer>,
+    val copyUsage: PeerCall<UsageCheckpoint, UsageCopyAnswer>,
 )
 
 /** Calls the peer at an address within a number of milliseconds and hands over the outcome. */
--- a/service/src/main/kotlin/org/mulberrypin/service/peers/PeerHandlers.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/peers/PeerHandlers.kt
@@ -9,6 +9,8 @@
 import org.mulberrypin.schema.generated.ExplanationQuestion
 import org.mulberrypin.schema.generated.GroupAssignment
 import org.mulberrypin.schema.generated.GroupResult
+import org.mulberrypin.schema.generated.UsageCheckpoint
+import org.mulberrypin.schema.generated.UsageCopyAnswer
 import org.mulberrypin.schema.generated.VersionAnnouncement
 import org.mulberrypin.schema.generated.VersionConfirmation
 
@@ -22,6 +24,7 @@
     val nextBatch: PeerHandler<BatchRequest, BatchAnswer>,
     val explain: PeerHandler<ExplanationQuestion, ExplanationAnswer>,
     val reportCrash: PeerHandler<CrashReport, CrashReportAnswer>,
+    val copyUsage: PeerHandler<UsageCheckpoint, UsageCopyAnswer>,
 )
 
 /** Handles a request of a peer and hands over the outcome. */
--- a/service/src/main/kotlin/org/mulberrypin/service/peers/PeerServer.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/peers/PeerServer.kt
@@ -24,6 +24,7 @@
                 .handle(PeerMethods.nextBatch, handlers.nextBatch)
                 .handle(PeerMethods.explain, handlers.explain)
                 .handle(PeerMethods.reportCrash, handlers.reportCrash)
+                .handle(PeerMethods.copyUsage, handlers.copyUsage)
                 .build(),
         ).build()
 
