--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/billing/UsageReporterState.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/billing/UsageReporterState.kt
@@ -12,6 +12,7 @@
  * @property nextLoadMilliseconds time at which the rows are read again
  * @property nextSendMilliseconds time before which no report is sent
  */
+@ConsistentCopyVisibility
 public data class UsageReporterState internal constructor(
     val terms: UsageReportTerms,
     val ledger: UsageLedger? = null,
