--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/configuration/Announcements.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/configuration/Announcements.kt
@@ -40,7 +40,7 @@
     return adopt(state, null, announcement.patches)
         .then { catchUp(it, announcement.version, nowMilliseconds) }
         .then { reached ->
-            val delegations = delegate(reached.members, range, seed = reached.nextNumber)
+            val delegations = delegateFrom(reached, range)
             val passedOn = if (reached.fanouts.size < FANOUT_LIMIT) delegations else emptyList()
             startFanout(reached, FanoutPurpose.Relay(event.call), announced, passedOn, nowMilliseconds)
         }
@@ -89,6 +89,12 @@
     }
 }
 
+/** Splits [range] among the members that this instance knows. */
+internal fun delegateFrom(
+    state: ConfigurationState,
+    range: HashRange,
+): List<Delegation> = delegate(state.members, range, positionOf(state.instance), seed = state.nextNumber)
+
 /** Ends an announcement with the answers that have come. */
 internal fun endFanout(
     state: ConfigurationState,
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/configuration/ConfigurationTick.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/configuration/ConfigurationTick.kt
@@ -68,7 +68,7 @@
 ): ConfigurationTransition {
     val announced = AnnouncedVersion(state.version, emptyList(), FANOUT_TIMEOUT_MILLISECONDS)
     val next = state.copy(nextSurveyMilliseconds = nowMilliseconds + SURVEY_INTERVAL_MILLISECONDS)
-    val delegations = delegate(state.members, wholeRange, seed = state.nextNumber)
+    val delegations = delegateFrom(state, wholeRange)
     return startFanout(next, FanoutPurpose.Survey, announced, delegations, nowMilliseconds)
 }
 
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/configuration/Delegation.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/configuration/Delegation.kt
@@ -36,28 +36,40 @@
 public val emptyRange: HashRange = HashRange(0, 0)
 
 /**
- * Splits [range] among its [members], which are in the order of their positions.
+ * Splits [range] among its [members], which are in the order of their positions. No part contains [position], that of
+ * the sender: it would otherwise be asked, and counted, by those it has asked.
  *
  * @param seed decides which member of a group is asked first, so that the work is spread over the instances
  */
 public fun delegate(
     members: List<Member>,
     range: HashRange,
+    position: Long,
     seed: Long,
 ): List<Delegation> {
-    val covered = members.filter(range::covers)
-    if (covered.isEmpty()) return emptyList()
-    val size = (covered.size + DELEGATION_LIMIT - 1) / DELEGATION_LIMIT
-    val groups = covered.chunked(size)
-    return groups.mapIndexed { index, group ->
-        val from = if (index == 0) range.from else group.first().position
-        val to = if (index == groups.lastIndex) range.to else groups[index + 1].first().position
+    val arcs = when (position) {
+        in range.from until range.to -> listOf(HashRange(range.from, position), HashRange(position + 1, range.to))
+        else -> listOf(range)
+    }
+    val coveredByArc = arcs.map { arc -> arc to members.filter(arc::covers) }
+    val covered = coveredByArc.sumOf { it.second.size }
+    val size = ((covered + DELEGATION_LIMIT - 1) / DELEGATION_LIMIT).coerceAtLeast(1)
+    return coveredByArc.flatMap { (arc, inArc) -> split(arc, inArc.chunked(size), seed) }
+}
+
+private fun split(
+    arc: HashRange,
+    groups: List<List<Member>>,
+    seed: Long,
+): List<Delegation> =
+    groups.mapIndexed { index, group ->
+        val from = if (index == 0) arc.from else group.first().position
+        val to = if (index == groups.lastIndex) arc.to else groups[index + 1].first().position
         val start = Math.floorMod(seed, group.size.toLong()).toInt()
         Delegation(HashRange(from, to), (group.drop(start) + group.take(start)).take(CANDIDATE_LIMIT))
     }
-}
 
-/** Groups into which a range is split at most. */
+/** Groups into which a range is split, apart from one more around the sender. */
 public const val DELEGATION_LIMIT: Int = 4
 
 private const val CANDIDATE_LIMIT = 3
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/configuration/Submissions.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/configuration/Submissions.kt
@@ -216,7 +216,7 @@
         state.copy(submissions = state.submissions.put(operator, preparing)),
         FanoutPurpose.Preparation(operator),
         announced,
-        delegate(state.members, wholeRange, seed = state.nextNumber),
+        delegateFrom(state, wholeRange),
         nowMilliseconds,
     )
 }
@@ -278,7 +278,7 @@
         state.copy(submissions = state.submissions.put(operator, waiting)),
         FanoutPurpose.Confirmation(operator),
         AnnouncedVersion(accepted.version, patches, FANOUT_TIMEOUT_MILLISECONDS),
-        delegate(state.members, wholeRange, seed = state.nextNumber),
+        delegateFrom(state, wholeRange),
         nowMilliseconds,
     )
 }
