--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/requests/Caller.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/requests/Caller.kt
@@ -3,9 +3,10 @@
 import org.mulberrypin.schema.generated.KeyRole
 
 /**
- * Who sent a request, as its key says. The key itself is not kept.
+ * Who sends a request, as its key tells.
  *
- * @property keyName the name by which operators know the key
+ * @property team the team that the key belongs to
+ * @property keyName the name by which operators know the key; never the key itself
  */
 public data class Caller(
     val team: String,
