--- a/command/src/main/kotlin/org/mulberrypin/command/AllCommands.kt
+++ b/command/src/main/kotlin/org/mulberrypin/command/AllCommands.kt
@@ -3,6 +3,7 @@
 /** The commands of the program, in the order of the help. */
 public val allCommands: List<Command> =
     listOf(
+        serveCommand,
         checkSettingsCommand,
         configurationShowCommand,
         configurationPatchCommand,
@@ -11,4 +12,7 @@
         keyWithdrawCommand,
         statusCommand,
         explainCommand,
+        standInPlatformCommand,
+        standInEngineCommand,
+        standInServiceCommand,
     )
--- /dev/null
+++ b/command/src/main/kotlin/org/mulberrypin/command/StandInCommands.kt
@@ -0,0 +1,40 @@
+/** The stand-ins as processes of their own, for development and tests. */
+package org.mulberrypin.command
+
+import org.mulberrypin.standins.engine.EngineStandInOptions
+import org.mulberrypin.standins.engine.startEngineStandIn
+import org.mulberrypin.standins.plainservice.PlainServiceStandInOptions
+import org.mulberrypin.standins.plainservice.startPlainServiceStandIn
+import org.mulberrypin.standins.platform.PlatformStandInOptions
+import org.mulberrypin.standins.platform.startPlatformStandIn
+
+internal val standInPlatformCommand: Command =
+    command("stand-in platform", "Runs a small platform, all in memory.", ::StandInOptions) { options, console ->
+        val standIn = startPlatformStandIn(PlatformStandInOptions(port = options.port))
+        console.answer("platform: ready at ${standIn.address}")
+        runUntilTold(standIn.stop)
+    }
+
+internal val standInEngineCommand: Command =
+    command("stand-in engine", "Runs a small model engine.", ::EngineOptions) { options, console ->
+        val standIn = startEngineStandIn(engineStandInOptions(options))
+        console.answer("engine: ready at ${standIn.address}")
+        runUntilTold(standIn.stop)
+    }
+
+internal val standInServiceCommand: Command =
+    command("stand-in service", "Runs a small plain service.", ::StandInOptions) { options, console ->
+        val standIn = startPlainServiceStandIn(PlainServiceStandInOptions(port = options.port))
+        console.answer("service: ready at ${standIn.address}")
+        runUntilTold(standIn.stop)
+    }
+
+private fun engineStandInOptions(options: EngineOptions): EngineStandInOptions =
+    EngineStandInOptions(
+        port = options.port,
+        model = options.model,
+        slots = options.slots,
+        tokenMilliseconds = options.tokenMilliseconds,
+        poisonText = options.poison,
+        restartMilliseconds = options.restartMilliseconds,
+    )
