--- a/command/src/main/kotlin/org/mulberrypin/command/ServeCommand.kt
+++ b/command/src/main/kotlin/org/mulberrypin/command/ServeCommand.kt
@@ -1,5 +1,6 @@
 package org.mulberrypin.command
 
+import com.linecorp.armeria.client.ClientFactory
 import org.mulberrypin.platform.httpPlatform
 import org.mulberrypin.runtime.Outcome
 import org.mulberrypin.runtime.settings.SettingsOutcome
@@ -29,8 +30,10 @@
 private fun serveWith(
     settings: EntrySettings,
     console: Console,
-): ExitCode =
-    when (val outcome = startEntryInstance(settings, httpPlatform(settings.platform))) {
+): ExitCode {
+    // A graceful shutdown still calls backend servers and the platform, which the library's own hook would prevent.
+    ClientFactory.disableShutdownHook()
+    return when (val outcome = startEntryInstance(settings, httpPlatform(settings.platform))) {
         is Outcome.Failure -> {
             console.complain(outcome.fault.toString())
             ExitCode.FAILED
@@ -41,6 +44,7 @@
             runUntilTold(outcome.value.drainAndStop)
         }
     }
+}
 
 /** Waits until the process is told to end, then runs [end] before it does. */
 internal fun runUntilTold(end: () -> Unit): ExitCode {
