--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/engine/EngineProcess.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/engine/EngineProcess.kt
@@ -20,7 +20,7 @@
  * @param listen opens or closes the engine's port
  */
 internal class EngineProcess(
-    private val options: EngineStandInOptions,
+    private var options: EngineStandInOptions,
     private val clock: ServiceClock,
     private val later: (() -> Unit) -> Unit,
     private val listen: (Boolean) -> Unit,
@@ -29,6 +29,7 @@
     private val outputs = HashMap<Long, EngineOutput>()
     private val losses = HashSet<Long>()
     private var state = EngineState(options.weightVersion)
+    private val usualTokenMilliseconds = options.tokenMilliseconds
     private var nextTask = 1L
     private var lagging = published.get()
     private var laggingSinceMilliseconds = Long.MIN_VALUE
@@ -60,6 +61,8 @@
 
     fun changeFaults(faults: StandInFaults) {
         state = state.copy(failingSwaps = faults.failSwaps)
+        val tokenMilliseconds = faults.tokenMilliseconds.takeIf { it > 0 } ?: usualTokenMilliseconds
+        options = options.copy(tokenMilliseconds = tokenMilliseconds)
         if (faults.down) cutAll()
     }
 
--- a/stand-ins/src/test/kotlin/org/mulberrypin/standins/engine/EngineStandInTest.kt
+++ b/stand-ins/src/test/kotlin/org/mulberrypin/standins/engine/EngineStandInTest.kt
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.DisplayName
 import org.junit.jupiter.api.Test
+import org.mulberrypin.runtime.manualClock
 import org.mulberrypin.runtime.wireJson
 import org.mulberrypin.schema.generated.ChatMessage
 import org.mulberrypin.schema.generated.CompletionChunk
@@ -112,4 +113,26 @@
         expectCatching { post("/v1/completions", request.copy(stream = true)) }.isFailure()
         expectThat(post("/v1/completions", request).contentUtf8()).startsWith("{")
     }
+
+    @Test
+    fun `listens again under its port after a crash, when told so`() {
+        val clock = manualClock()
+        val options = EngineStandInOptions(tokenMilliseconds = 1, poisonText = "poison", restartMilliseconds = 100)
+        val restarting = startEngineStandIn(options, clock.clock)
+        val health = {
+            WebClient
+                .of("h1c://${restarting.address}")
+                .get("/health")
+                .aggregate()
+                .join()
+                .status()
+                .code()
+        }
+        restarting.crash()
+        expectCatching { health() }.isFailure()
+        clock.advance(200)
+        repeat(2) { restarting.faults.set(StandInFaults()) }
+        expectThat(health()).isEqualTo(200)
+        restarting.stop()
+    }
 }
