--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepAsks.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepAsks.kt
@@ -2,6 +2,7 @@
 package org.mulberrypin.decisions.rollouts
 
 import org.mulberrypin.decisions.Transition
+import org.mulberrypin.schema.generated.BatchAnswer
 
 internal typealias StepTransition = Transition<StepState, StepEffect>
 
@@ -57,8 +58,8 @@
 ): StepTransition {
     val refusal = step.record.record.refusalOf(ask.request.acknowledged)
     if (refusal != null) {
-        val answer = refused(refusal).copy(voided = step.record.record.voided)
-        return StepTransition(state.put(step), listOf(answerTo(ask, answer)))
+        val verifying = verify(step, ask, refused(refusal).copy(voided = step.record.record.voided))
+        return StepTransition(state.put(verifying.state), verifying.effects)
     }
     val raised = advanceVersion(step, ask.request, nowMilliseconds)
     val planned = carryOut(planRecord(policy, raised.state, ask.request.acknowledged), raised.state, ask)
@@ -74,7 +75,7 @@
     val isUnchanged = plan.record == record.record
     return when {
         isUnchanged && record.record.frozen != null -> {
-            Transition(step.copy(work = StepWork.Verifying(ask)), listOf(StepEffect.ReadView(step.key)))
+            verify(step, ask, step.answerWithFrozen(step.pace.version))
         }
 
         isUnchanged -> {
@@ -87,3 +88,11 @@
         }
     }
 }
+
+/** Has the lease read after the call arrived; an earlier reading would not show that another instance took over. */
+private fun verify(
+    step: HeldStep,
+    ask: TrainerAsk.NextBatch,
+    answer: BatchAnswer,
+): Transition<HeldStep, StepEffect> =
+    Transition(step.copy(work = StepWork.Verifying(ask, answer)), listOf(StepEffect.ReadView(step.key, ask.ask)))
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepDecision.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepDecision.kt
@@ -83,7 +83,7 @@
     return if (step == null) {
         endLookup(policy, state, event.key, event.view, nowMilliseconds)
     } else {
-        checkHeldStep(policy, state, step, event.view, nowMilliseconds)
+        checkHeldStep(policy, state, step, event, nowMilliseconds)
     }
 }
 
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepEffect.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepEffect.kt
@@ -13,9 +13,10 @@
         val answer: BatchAnswer,
     ) : StepEffect
 
-    /** Reads the rows of a step; ends in [StepEvent.ViewRead]. */
+    /** Reads the rows of a step, for the call [ask] or, with 0, for no call; ends in [StepEvent.ViewRead]. */
     public data class ReadView(
         val key: StepKey,
+        val ask: Long = 0,
     ) : StepEffect
 
     /** Makes this instance the holder of a step; ends in [StepEvent.OpeningEnded]. */
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepEvent.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepEvent.kt
@@ -10,10 +10,11 @@
         val ask: TrainerAsk,
     ) : StepEvent
 
-    /** The rows of a step were read; [view] is null when the table service did not answer. */
+    /** The rows of a step were read for the call [ask]; [view] is null when the table service did not answer. */
     public data class ViewRead(
         val key: StepKey,
         val view: StepView?,
+        val ask: Long = 0,
     ) : StepEvent
 
     /** An opening ended; [opened] is set exactly when it was committed and everything was read. */
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepUpkeep.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepUpkeep.kt
@@ -23,6 +23,7 @@
         .andThen { releaseIdle(policy, it, nowMilliseconds) }
         .andThen { startStragglersAgain(it, nowMilliseconds) }
 
+/** Writes one heartbeat for all held steps, and reads their leases, so that a lost step is noticed without a call. */
 private fun renew(
     policy: StepPolicy,
     state: StepState,
@@ -36,7 +37,10 @@
             renewals = heartbeat.renewals,
             nextRenewalMilliseconds = nowMilliseconds + policy.renewalMilliseconds,
         )
-        StepTransition(next, listOf(StepEffect.Renew(heartbeat)))
+        val checks = state.held.values
+            .filter { it.work == StepWork.None }
+            .map { StepEffect.ReadView(it.key) }
+        StepTransition(next, listOf(StepEffect.Renew(heartbeat)) + checks)
     }
 
 private fun repeatWrites(
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepWork.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepWork.kt
@@ -1,5 +1,7 @@
 package org.mulberrypin.decisions.rollouts
 
+import org.mulberrypin.schema.generated.BatchAnswer
+
 /** What a held step is waiting for; a step does one thing at a time. */
 public sealed interface StepWork {
     /** Nothing; the next call of the trainer can be taken. */
@@ -19,8 +21,9 @@
         val conflicted: Boolean = false,
     ) : StepWork
 
-    /** The lease is read again before a frozen batch is handed out once more. */
+    /** The lease is read again before [answer] is given, because it rests on the record as this instance knows it. */
     public data class Verifying(
         val ask: TrainerAsk.NextBatch,
+        val answer: BatchAnswer,
     ) : StepWork
 }
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepWrites.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepWrites.kt
@@ -32,18 +32,23 @@
     }
 }
 
-/** Decides from the rows what became of a write that conflicted, or whether a frozen batch may be handed out. */
+/** Decides from the rows what became of a write that conflicted, and whether this instance still holds the step. */
 internal fun checkHeldStep(
     policy: StepPolicy,
     state: StepState,
     step: HeldStep,
-    view: StepView?,
+    event: StepEvent.ViewRead,
     nowMilliseconds: Long,
 ): StepTransition {
     val work = step.work
+    val view = event.view
     val isLost = view != null && view.lease?.version != step.lease.rowVersion
     return when {
-        work is StepWork.None || (work is StepWork.Writing && !work.conflicted) -> {
+        work is StepWork.Writing && !work.conflicted -> {
+            StepTransition(state)
+        }
+
+        work is StepWork.Verifying && work.ask.ask != event.ask -> {
             StepTransition(state)
         }
 
@@ -60,7 +65,7 @@
         }
 
         work is StepWork.Verifying -> {
-            val answer = if (view == null) askAgain else step.answerWithFrozen(step.pace.version)
+            val answer = if (view == null) askAgain else work.answer
             StepTransition(state.put(step.copy(work = StepWork.None)), listOf(answerTo(work.ask, answer)))
                 .andThen { continueAsks(policy, it, step.key, nowMilliseconds) }
         }
--- a/service/src/main/kotlin/org/mulberrypin/service/rollouts/StoreTask.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/rollouts/StoreTask.kt
@@ -20,7 +20,7 @@
     val event = when (val effect = task.effect) {
         is StepEffect.ReadView -> {
             val view = (store.readView(effect.key) as? Outcome.Success)?.value
-            StepEvent.ViewRead(effect.key, view)
+            StepEvent.ViewRead(effect.key, view, effect.ask)
         }
 
         is StepEffect.Open -> {
@@ -50,7 +50,7 @@
 /** The event that ends an operation which the step-store duty could not take. */
 internal fun outcomeOfRefused(effect: StepEffect): StepEvent? =
     when (effect) {
-        is StepEffect.ReadView -> StepEvent.ViewRead(effect.key, view = null)
+        is StepEffect.ReadView -> StepEvent.ViewRead(effect.key, view = null, effect.ask)
         is StepEffect.Open -> StepEvent.OpeningEnded(effect.opening.key, StoreResult.FAILED, opened = null)
         is StepEffect.Write -> StepEvent.WriteEnded(effect.write, StoreResult.FAILED)
         else -> null
