Rollouts: shell test of two instances; avoid instances that fail attempts

Cause: an instance that refuses at once looked idle and got every waiting group; found by the shell test in which a drained instance refused groups. Change: other instances are preferred for 5 s after a failed attempt.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepAssignments.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepAssignments.kt
@@ -79,7 +79,7 @@
         ?.map { it.instance }
         .orEmpty()
         .toSet()
-    val instance = chooseInstance(state, choice, avoided)
+    val instance = chooseInstance(state, choice, avoided, nowMilliseconds)
     val granted = step.additionalSamplesLeft.coerceAtMost(ADDITIONAL_SAMPLES_PER_GROUP)
     val number = step.nextAttempt
     val attempt = GroupAttempt(instance, nowMilliseconds, granted)
@@ -102,6 +102,7 @@
     state: StepState,
     choice: GroupChoice,
     avoided: Set<String>,
+    nowMilliseconds: Long,
 ): String {
     val load = mutableMapOf<String, Int>()
     for (step in state.held.values) {
@@ -111,8 +112,10 @@
     }
     val names = state.instances.keys
     val digest = choice.step.promptDigests[choice.group]
+    val failing = state.avoidedUntil.filterValues { it > nowMilliseconds }.keys
     return names
-        .minus(avoided)
+        .minus(avoided + failing)
+        .ifEmpty { names.minus(avoided) }
         .ifEmpty { names }
         .minWith(compareBy<String> { load[it] ?: 0 }.thenBy { promptDigest(it) xor digest })
 }
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepDecision.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepDecision.kt
@@ -47,7 +47,7 @@
         }
 
         is StepEvent.InstancesChanged -> {
-            StepTransition(state.copy(instances = usable(policy, state, event)))
+            StepTransition(changeInstances(policy, state, event))
         }
 
         is StepEvent.KeysChanged -> {
@@ -87,10 +87,14 @@
     }
 }
 
-private fun usable(
+private fun changeInstances(
     policy: StepPolicy,
     state: StepState,
     event: StepEvent.InstancesChanged,
-) = event.instances
-    .filterKeys { !state.draining || it != policy.instance }
-    .toPersistentMap()
+): StepState {
+    val usable = event.instances.filterKeys { !state.draining || it != policy.instance }
+    return state.copy(
+        instances = usable.toPersistentMap(),
+        avoidedUntil = state.avoidedUntil.filterKeys { it in usable }.toPersistentMap(),
+    )
+}
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepResults.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepResults.kt
@@ -5,6 +5,9 @@
 import org.mulberrypin.schema.generated.GroupResult
 import org.mulberrypin.schema.generated.SampleGroup
 
+/** Time for which other instances are preferred to one that failed an attempt. */
+public const val AVOID_INSTANCE_MILLISECONDS: Long = 5_000
+
 /** Time before a group whose attempt failed is assigned again. */
 public const val GROUP_RETRY_MILLISECONDS: Long = 500
 
@@ -30,11 +33,26 @@
 
         else -> {
             val failed = failAttempt(policy, step, group, event, nowMilliseconds)
-            StepTransition(state.put(failed), listOf(explainFailure(event, attempt)))
+            StepTransition(
+                state.avoid(event, attempt, nowMilliseconds).put(failed),
+                listOf(explainFailure(event, attempt)),
+            )
         }
     }
 }
 
+/** Prefers other instances for a while, since one that refuses at once would else look idle and get every group. */
+private fun StepState.avoid(
+    event: StepEvent.GroupEnded,
+    attempt: GroupAttempt,
+    nowMilliseconds: Long,
+): StepState =
+    if (isFaultOfGroup(event.result)) {
+        this
+    } else {
+        copy(avoidedUntil = avoidedUntil.put(attempt.instance, nowMilliseconds + AVOID_INSTANCE_MILLISECONDS))
+    }
+
 /** The index of a group that still needs a result, or null for any other. */
 private fun openGroup(
     step: HeldStep,
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepState.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepState.kt
@@ -7,6 +7,7 @@
  * What one instance knows about steps. When a table is full, the call that would enlarge it is told to ask again.
  *
  * @property instances instances that can generate groups, this one included, with their incarnations
+ * @property avoidedUntil instances that failed an attempt, with the time until which others are preferred
  * @property held steps that this instance holds, at most [HELD_STEP_LIMIT]
  * @property lookups steps that this instance is asking the table service about, at most [LOOKUP_LIMIT]
  * @property watches heartbeats of the holders of other steps, at most [LOOKUP_LIMIT]
@@ -17,6 +18,7 @@
  */
 public data class StepState(
     val instances: PersistentMap<String, Long> = persistentMapOf(),
+    val avoidedUntil: PersistentMap<String, Long> = persistentMapOf(),
     val held: PersistentMap<StepKey, HeldStep> = persistentMapOf(),
     val lookups: PersistentMap<StepKey, StepLookup> = persistentMapOf(),
     val watches: PersistentMap<StepKey, HolderWatch> = persistentMapOf(),
--- a/service/src/main/kotlin/org/mulberrypin/service/rollouts/RolloutPart.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/rollouts/RolloutPart.kt
@@ -101,7 +101,7 @@
 private const val STORE_RING_CAPACITY = 1024
 private const val SCORE_RING_CAPACITY = 4096
 private const val TICK_MILLISECONDS = 100L
-private const val IDLE_TICK_MILLISECONDS = 1000L
+private const val IDLE_TICK_MILLISECONDS = 250L
 private const val STOP_WAIT_MILLISECONDS = 5000L
 
 private fun <Answer> offerOrRefuse(
--- a/service/src/test/kotlin/org/mulberrypin/service/rollouts/RolloutPartTest.kt
+++ b/service/src/test/kotlin/org/mulberrypin/service/rollouts/RolloutPartTest.kt
@@ -25,6 +25,7 @@
 import org.mulberrypin.schema.generated.InstanceEntry
 import org.mulberrypin.schema.generated.InstanceSettings
 import org.mulberrypin.schema.generated.KeyRole
+import org.mulberrypin.schema.generated.LeaseSettings
 import org.mulberrypin.schema.generated.PromptGroup
 import org.mulberrypin.schema.generated.RolloutSettings
 import org.mulberrypin.schema.generated.StepRequest
@@ -39,6 +40,7 @@
 import strikt.assertions.containsExactlyInAnyOrder
 import strikt.assertions.isEqualTo
 import strikt.assertions.isTrue
+import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
 
@@ -159,7 +161,7 @@
     private fun start(instance: String): Int {
         val part = startRolloutPart(contextOf(instance), requestPart(instance), ::authenticate)
         parts[instance] = part
-        val builder = Server.builder().http(java.net.InetSocketAddress("127.0.0.1", 0))
+        val builder = Server.builder().http(InetSocketAddress("127.0.0.1", 0))
         part.routes(builder)
         val server = builder.build()
         server.start().join()
@@ -178,7 +180,8 @@
         EntryContext(
             settings = EntrySettings(
                 instance = InstanceSettings(name = instance),
-                rollouts = RolloutSettings(batchGroups = 2, inFlightSamples = 8),
+                leases = LeaseSettings(durationMilliseconds = 9_000, renewalMilliseconds = 3_000),
+                rollouts = RolloutSettings(batchGroups = 2, groupAttemptLimit = 8, inFlightSamples = 8),
             ),
             incarnation = 1,
             clock = systemClock(),
@@ -194,7 +197,9 @@
             explain = {},
         )
 
-    private fun <Request, Answer> callOf(handler: (RolloutPart) -> PeerHandler<Request, Answer>): PeerCall<Request, Answer> =
+    private fun <Request, Answer> callOf(
+        handler: (RolloutPart) -> PeerHandler<Request, Answer>,
+    ): PeerCall<Request, Answer> =
         { address, _, message, onOutcome ->
             val part = parts[address]
             if (part == null) {
