Show the whole service at work: the command demo

Duties park at most 250 ms, since a duty that parked for its whole tick interval delayed a shutdown by up to its longest stop wait: the demonstration took 16 s from the signal to its end.

--- a/command/src/main/kotlin/org/mulberrypin/command/AllCommands.kt
+++ b/command/src/main/kotlin/org/mulberrypin/command/AllCommands.kt
@@ -1,9 +1,12 @@
 package org.mulberrypin.command
 
+import org.mulberrypin.command.demo.demoCommand
+
 /** The commands of the program, in the order of the help. */
 public val allCommands: List<Command> =
     listOf(
         serveCommand,
+        demoCommand,
         checkSettingsCommand,
         configurationShowCommand,
         configurationPatchCommand,
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/billing/DecideUsageReporter.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/billing/DecideUsageReporter.kt
@@ -1,9 +1,9 @@
 /**
  * Decides how the process that holds the lease for reports freezes, sends and confirms windows, one step at a time.
  *
- * The figures of a window are written together with what they were taken from, under the condition that the lease's row
- * is unchanged, before they are sent for the first time; each sending takes them from that row. A new holder waits until
- * every sending that an earlier one may have begun is over.
+ * The figures of a window are written together with what they were taken from, under the condition that the lease's
+ * row is unchanged, before they are sent for the first time; each sending takes them from that row. A new holder waits
+ * until every sending that an earlier one may have begun is over.
  */
 package org.mulberrypin.decisions.billing
 
@@ -52,13 +52,24 @@
     nowMilliseconds: Long,
 ): Transition<UsageReporterState, UsageReporterEffect> {
     val awaited = outstanding
-    if (awaited != null && !isAnswerLost(awaited.sentMilliseconds, nowMilliseconds)) return Transition(this)
-    val lease = event.lease ?: return Transition(UsageReporterState(terms, attempts = attempts))
-    val ready = if (awaited == null) this else startOver(awaited.attempt, nowMilliseconds)
-    val effect = ready.nextEffect(lease, nowMilliseconds) ?: return Transition(ready)
+    val lease = event.lease
+    return when {
+        awaited != null && !isAnswerLost(awaited.sentMilliseconds, nowMilliseconds) -> Transition(this)
+        lease == null -> Transition(UsageReporterState(terms, attempts = attempts))
+        awaited == null -> begin(lease, event.wallMilliseconds, nowMilliseconds)
+        else -> startOver(awaited.attempt, nowMilliseconds).begin(lease, event.wallMilliseconds, nowMilliseconds)
+    }
+}
+
+private fun UsageReporterState.begin(
+    lease: LeaseHold,
+    wallMilliseconds: Long,
+    nowMilliseconds: Long,
+): Transition<UsageReporterState, UsageReporterEffect> {
+    val effect = nextEffect(lease, nowMilliseconds) ?: return Transition(this)
     val step = UsageReporterStep(effect.attempt, nowMilliseconds, effect)
-    val next = ready.copy(outstanding = step, attempts = effect.attempt)
-    return Transition(next.scheduled(effect, event.wallMilliseconds, nowMilliseconds), listOf(effect))
+    val next = copy(outstanding = step, attempts = effect.attempt)
+    return Transition(next.scheduled(effect, wallMilliseconds, nowMilliseconds), listOf(effect))
 }
 
 private fun UsageReporterState.scheduled(
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/billing/UsageCopies.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/billing/UsageCopies.kt
@@ -1,6 +1,6 @@
 /**
- * Decides what an instance does with the copies that its peers gave it: when the next copy stays away, the peer may have
- * died, and the copy is merged into the peer's checkpoint. Doing so for a peer that lives is harmless, because a
+ * Decides what an instance does with the copies that its peers gave it: when the next copy stays away, the peer may
+ * have died, and the copy is merged into the peer's checkpoint. Doing so for a peer that lives is harmless, because a
  * checkpoint only grows and the peer's own next one contains the copy.
  */
 package org.mulberrypin.decisions.billing
--- a/runtime/src/main/kotlin/org/mulberrypin/runtime/Duty.kt
+++ b/runtime/src/main/kotlin/org/mulberrypin/runtime/Duty.kt
@@ -60,7 +60,7 @@
 ): Duty {
     var nextTickMilliseconds = clock.readMilliseconds()
     val runOnce = {
-        val waitMilliseconds = (nextTickMilliseconds - clock.readMilliseconds()).coerceIn(0, tickMilliseconds)
+        val waitMilliseconds = (nextTickMilliseconds - clock.readMilliseconds()).coerceIn(0, LONGEST_PARK_MILLISECONDS)
         ring.take(waitMilliseconds)?.let(handleEvent)
         if (clock.readMilliseconds() >= nextTickMilliseconds) {
             nextTickMilliseconds = clock.readMilliseconds() + tickMilliseconds
@@ -69,3 +69,6 @@
     }
     return Duty(name, runOnce).start()
 }
+
+/** Longest time a thread parks, so that it notices soon that it shall stop, in milliseconds. */
+private const val LONGEST_PARK_MILLISECONDS = 250L
--- a/runtime/src/main/kotlin/org/mulberrypin/runtime/settings/SettingsFile.kt
+++ b/runtime/src/main/kotlin/org/mulberrypin/runtime/settings/SettingsFile.kt
@@ -28,19 +28,23 @@
     rules: SettingsRules<Settings> = { emptyList() },
 ): SettingsOutcome<Settings> =
     try {
-        readSettings(path.toString(), Files.readString(path), sections, serializer, rules)
+        parseSettings(path.toString(), Files.readString(path), sections, serializer, rules)
     } catch (failure: IOException) {
         unreadable(path, failure)
     } catch (failure: ConfigurationException) {
         unreadable(path, failure)
     }
 
-private fun <Settings> readSettings(
+/**
+ * Reads settings from [content], the text of a file named [file]. Takes the same sections, serializer and rules as
+ * [readSettingsFile].
+ */
+public fun <Settings> parseSettings(
     file: String,
     content: String,
     sections: List<SettingsSection>,
     serializer: DeserializationStrategy<Settings>,
-    rules: SettingsRules<Settings>,
+    rules: SettingsRules<Settings> = { emptyList() },
 ): SettingsOutcome<Settings> {
     val text = readSettingsText(file, content)
     val checked = checkSettings(file, text, sections)
--- a/service/src/main/kotlin/org/mulberrypin/service/EntryShutdown.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/EntryShutdown.kt
@@ -11,13 +11,12 @@
     private val context: EntryContext,
     private val parts: EntryParts,
     private val readiness: Readiness,
-    private val watch: InstanceWatch,
     private val servers: List<Server>,
 ) {
     fun drainAndStop() {
         logger.info("Shutting down: finishing what is under way.")
         readiness.set(false)
-        watch.leave()
+        parts.membership.leave()
         pause(NOTICE_MILLISECONDS)
         parts.requests.drain()
         parts.rollouts.drain()
@@ -27,7 +26,8 @@
 
     fun stop() {
         servers.forEach { it.stop().join() }
-        watch.stop()
+        parts.membership.stop()
+        parts.certaintyWatch.stop(NOTICE_MILLISECONDS)
         parts.rollouts.stop()
         parts.requests.stop()
         parts.configuration.stop()
--- a/service/src/main/kotlin/org/mulberrypin/service/StartEntryInstance.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/StartEntryInstance.kt
@@ -60,8 +60,8 @@
     val host = context.settings.instance.host
     val address = "$host:${callerServer.activeLocalPort()}"
     val peerAddress = "$host:${peerServer.activeLocalPort()}"
-    val watch = startInstanceWatch(context, address, peerAddress, parts)
-    val shutdown = EntryShutdown(context, parts, readiness, watch, listOf(callerServer, peerServer))
+    val shutdown = EntryShutdown(context, parts, readiness, listOf(callerServer, peerServer))
+    parts.membership.register(address, peerAddress)
     readiness.set(true)
     logger.info("Callers are served at {}, peers at {}.", address, peerAddress)
     return EntryInstance(address, peerAddress, shutdown::drainAndStop, shutdown::stop)
--- a/service/src/main/kotlin/org/mulberrypin/service/StartParts.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/StartParts.kt
@@ -1,9 +1,15 @@
 /** Starts the parts of an entry instance in the order in which they need each other. */
 package org.mulberrypin.service
 
+import org.mulberrypin.runtime.Duty
+import org.mulberrypin.runtime.boundedRing
+import org.mulberrypin.runtime.startDuty
 import org.mulberrypin.schema.generated.Configuration
+import org.mulberrypin.service.configuration.ConfigurationPart
 import org.mulberrypin.service.configuration.startConfigurationPart
+import org.mulberrypin.service.membership.startMembershipPart
 import org.mulberrypin.service.requests.RequestOutlets
+import org.mulberrypin.service.requests.RequestPart
 import org.mulberrypin.service.requests.startRequestPart
 import org.mulberrypin.service.rollouts.RolloutPart
 import org.mulberrypin.service.rollouts.startRolloutPart
@@ -26,5 +32,29 @@
         }
     rollouts.set(startRolloutPart(context, requests, configuration.authenticate))
     rollouts.get().configurationChanged(configuration.current())
-    return EntryParts(requests, configuration, rollouts.get())
+    val membership =
+        startMembershipPart(context) { instances ->
+            requests.instancesChanged(instances.size)
+            configuration.peersChanged(instances)
+            rollouts.get().peersChanged(instances)
+        }
+    return EntryParts(
+        requests = requests,
+        configuration = configuration,
+        rollouts = rollouts.get(),
+        membership = membership,
+        certaintyWatch = startCertaintyWatch(context, configuration, requests),
+    )
 }
+
+/** Tells the request duty whether the configuration is known to be in force, so that waiting requests end too. */
+private fun startCertaintyWatch(
+    context: EntryContext,
+    configuration: ConfigurationPart,
+    requests: RequestPart,
+): Duty =
+    startDuty<Unit>("certainty", boundedRing("certainty", 1), context.clock, CERTAINTY_MILLISECONDS, {}) {
+        requests.certaintyChanged(configuration.certain())
+    }
+
+private const val CERTAINTY_MILLISECONDS = 250L
--- a/service/src/main/kotlin/org/mulberrypin/service/frontend/CallerGate.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/frontend/CallerGate.kt
@@ -27,8 +27,8 @@
 }
 
 /**
- * Decides who sends [call]; refuses it when the instance cannot tell whether its configuration is in force. A request without a key goes on for no team, which only
- * routes open to all admit.
+ * Decides who sends [call]; refuses it when the instance cannot tell whether its configuration is in force. A request
+ * without a key goes on for no team, which only routes open to all admit.
  */
 internal fun callerGate(
     call: AggregatedHttpRequest,
