Tell refused calls from lost ones in the load library, and check refusals that say not run

A truthful refusal counted as a lost call, and nothing could show that a refusal said "not run" falsely.

--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/StandInDuty.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/StandInDuty.kt
@@ -55,69 +55,77 @@
     work: StandInWork<Operation>,
 ): StandInDuty<Operation> {
     val ring = boundedRing<() -> Unit>(name, RING_CAPACITY)
-    val faults = AtomicReference(StandInFaults())
+    val front = StandInFront(ring, work)
     val duty = startDuty(name, ring, clock, tickMilliseconds, handleEvent = { it() }, handleTick = work.tick)
-    lateinit var submit: (StandInCall<Operation>) -> Unit
-    val handle: (StandInCall<Operation>) -> Unit = { call ->
-        if (!call.delayed) work.arrived(call.received)
-        val decision = decideFault(faults.get(), call.name, call.delayed)
-        faults.set(decision.faults)
-        carryOut(decision.action, call, work) { submit(it) }
-    }
-    submit = { call -> if (!ring.offer { handle(call) }) refuseAsFull(call) }
-    val change: (StandInFaults) -> Unit = { changed ->
-        faults.set(changed)
-        work.faultsChanged(changed)
-    }
     return StandInDuty(
-        submit = submit,
+        submit = front::submit,
         post = ring::offer,
-        await = { action -> runAndWait(ring, action) },
-        faults = FaultControl(set = { changed -> runAndWait(ring) { change(changed) } }, read = faults::get),
+        await = front::await,
+        faults = FaultControl(set = front::setFaults, read = front::readFaults),
         stop = { duty.stop(STOP_MILLISECONDS) },
     )
 }
 
-private fun <Operation : Any> carryOut(
-    action: FaultAction,
-    call: StandInCall<Operation>,
-    work: StandInWork<Operation>,
-    submitAgain: (StandInCall<Operation>) -> Unit,
+/** The way of calls through the ring and the faults to the work. */
+private class StandInFront<Operation : Any>(
+    private val ring: BoundedRing<() -> Unit>,
+    private val work: StandInWork<Operation>,
 ) {
-    when (action) {
-        FaultAction.Run -> {
-            work.run(call, false)
-        }
+    private val faults = AtomicReference(StandInFaults())
 
-        FaultAction.RunAndLoseAnswer -> {
-            work.run(call, true)
+    fun submit(call: StandInCall<Operation>) {
+        if (!ring.offer { handle(call) }) {
+            call.exchange.respond(notRunReply(HttpStatus.SERVICE_UNAVAILABLE, call.name, "The ring is full."))
         }
+    }
 
-        FaultAction.Cut -> {
-            call.exchange.cut()
-        }
+    fun await(action: () -> Unit) {
+        val done = CompletableFuture<Unit>()
+        check(ring.offer { done.complete(action()) }) { "The ring ${ring.name} is full." }
+        done.join()
+    }
 
-        is FaultAction.Refuse -> {
-            call.exchange.respond(notRunReply(HttpStatus.valueOf(action.status), call.name, "Refused by a fault."))
+    fun setFaults(changed: StandInFaults) =
+        await {
+            faults.set(changed)
+            work.faultsChanged(changed)
         }
 
-        is FaultAction.Delay -> {
-            call.exchange.delay(action.milliseconds) { submitAgain(call.copy(delayed = true)) }
-        }
+    fun readFaults(): StandInFaults = faults.get()
+
+    private fun handle(call: StandInCall<Operation>) {
+        if (!call.delayed) work.arrived(call.received)
+        val decision = decideFault(faults.get(), call.name, call.delayed)
+        faults.set(decision.faults)
+        carryOut(decision.action, call)
     }
-}
 
-private fun refuseAsFull(call: StandInCall<*>) {
-    call.exchange.respond(notRunReply(HttpStatus.SERVICE_UNAVAILABLE, call.name, "The ring is full."))
-}
+    private fun carryOut(
+        action: FaultAction,
+        call: StandInCall<Operation>,
+    ) {
+        when (action) {
+            FaultAction.Run -> {
+                work.run(call, false)
+            }
 
-private fun runAndWait(
-    ring: BoundedRing<() -> Unit>,
-    action: () -> Unit,
-) {
-    val done = CompletableFuture<Unit>()
-    check(ring.offer { done.complete(action()) }) { "The ring ${ring.name} is full." }
-    done.join()
+            FaultAction.RunAndLoseAnswer -> {
+                work.run(call, true)
+            }
+
+            FaultAction.Cut -> {
+                call.exchange.cut()
+            }
+
+            is FaultAction.Refuse -> {
+                call.exchange.respond(notRunReply(HttpStatus.valueOf(action.status), call.name, "Refused by a fault."))
+            }
+
+            is FaultAction.Delay -> {
+                call.exchange.delay(action.milliseconds) { submit(call.copy(delayed = true)) }
+            }
+        }
+    }
 }
 
 private const val RING_CAPACITY = 65_536
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/engine/EngineRoutes.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/engine/EngineRoutes.kt
@@ -17,6 +17,9 @@
 import org.mulberrypin.standins.openExchange
 import org.mulberrypin.standins.received.receivedRequest
 
+/** Reads an operation out of a request that belongs to an exchange. */
+private typealias EngineOperationReader = (HttpExchange, AggregatedHttpRequest) -> Outcome<EngineOperation>
+
 /** Adds the routes of an engine for [model]; [submit] takes each call. */
 internal fun addEngineRoutes(
     builder: ServerBuilder,
@@ -40,14 +43,11 @@
     }
     add(HttpMethod.POST, "/v1/completions", "completion", completionReader(model, isChat = false))
     add(HttpMethod.POST, "/v1/chat/completions", "completion", completionReader(model, isChat = true))
-    add(HttpMethod.POST, "/orders/weights", "weights", ::readWeightOrder)
+    add(HttpMethod.POST, "/orders/weights", "weights") { _, body -> readWeightOrder(body) }
     add(HttpMethod.GET, "/load", "load") { _, _ -> Outcome.Success(EngineOperation.ReportLoad) }
     add(HttpMethod.GET, "/health", "health") { _, _ -> Outcome.Success(EngineOperation.ReportHealth) }
 }
 
-/** Reads an operation out of a request that belongs to an exchange. */
-private typealias EngineOperationReader = (HttpExchange, AggregatedHttpRequest) -> Outcome<EngineOperation>
-
 private fun completionReader(
     model: String,
     isChat: Boolean,
@@ -60,11 +60,7 @@
         }
     }
 
-@Suppress("UNUSED_PARAMETER")
-private fun readWeightOrder(
-    exchange: HttpExchange,
-    body: AggregatedHttpRequest,
-): Outcome<EngineOperation> =
+private fun readWeightOrder(body: AggregatedHttpRequest): Outcome<EngineOperation> =
     parseWireJson(body.contentUtf8(), EngineWeightOrder.serializer(), "weights", "client")
         .map(EngineOperation::LoadWeights)
 
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/load/CallResult.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/load/CallResult.kt
@@ -1,21 +1,20 @@
 package org.mulberrypin.standins.load
 
-import org.mulberrypin.standins.text.AnswerCheck
-
 /**
  * What became of one call, over all its attempts.
  *
- * @property check what the answer turned out to be, or null when no answer came in any attempt
- * @property latencyMilliseconds time from the first attempt to the end of the answer
- * @property firstPartMilliseconds time to the first part, within the attempt that was answered
- * @property refusals refused attempts by what they said about the request: "not_run", "may_have_run" or "unstated"
+ * @property name name of the call, under which a plain service counts its executions
+ * @property latencyMilliseconds time from the first attempt to the end of the last one
+ * @property run what the attempts together say about the request: "not_run", "may_have_run" or "unstated"
+ * @property refusals refused attempts by what they said about the request
  * @property cuts attempts whose connection was cut or never made
  */
 internal data class CallResult(
+    val name: String,
     val kind: CallKind,
-    val check: AnswerCheck?,
+    val ending: CallEnding,
     val latencyMilliseconds: Long,
-    val firstPartMilliseconds: Long,
+    val run: String,
     val refusals: Map<String, Long>,
     val cuts: Long,
 )
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/load/Caller.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/load/Caller.kt
@@ -20,9 +20,6 @@
     private val kinds = callKinds(options)
     private var turn = number
 
-    /** Names of the keyed writes that were sent. */
-    val writes = LinkedHashSet<String>()
-
     fun run() {
         for (call in 0 until options.callsOfCaller) {
             if (clock.readMilliseconds() >= endMilliseconds) return
@@ -33,24 +30,26 @@
 
     private fun makeCall(call: Int): CallResult {
         val kind = kinds[(call + number) % kinds.size]
-        val attempt = attemptOf(kind, call)
+        val name = "load-${options.seed}-$number-$call"
+        val attempt = attemptOf(kind, call, name)
         val startMilliseconds = clock.readMilliseconds()
-        val results = mutableListOf<AttemptResult>()
-        while (results.size < options.attempts && results.lastOrNull() !is AttemptResult.Answered) {
-            if (results.isNotEmpty()) pause(options.retryPauseMilliseconds)
-            results += attempt(clients[turn++ % clients.size])
+        val results = mutableListOf(attempt(nextClient()))
+        while (results.size < options.attempts && mayRepeat(kind, results.last())) {
+            pause(options.retryPauseMilliseconds)
+            results += attempt(nextClient())
         }
-        return callResult(kind, results, clock.readMilliseconds() - startMilliseconds)
+        return callResult(name, kind, results, clock.readMilliseconds() - startMilliseconds)
     }
 
+    private fun nextClient(): EntryClient = clients[turn++ % clients.size]
+
     private fun attemptOf(
         kind: CallKind,
         call: Int,
+        name: String,
     ): (EntryClient) -> AttemptResult {
-        val name = "load-${options.seed}-$number-$call"
-        if (kind == CallKind.KEYED_WRITE) {
-            writes += name
-            return { client -> attemptWrite(client, options.plainRoute, name) }
+        if (kind == CallKind.WRITE || kind == CallKind.KEYED_WRITE) {
+            return { client -> attemptWrite(client, options.plainRoute, name, isKeyed = kind == CallKind.KEYED_WRITE) }
         }
         val request = CompletionRequest(
             model = options.model,
@@ -69,22 +68,32 @@
 
 private fun callKinds(options: CallerOptions): List<CallKind> {
     val completions = if (options.model.isEmpty()) emptyList() else listOf(CallKind.INTERACTIVE, CallKind.STREAMED)
-    return if (options.plainRoute.isEmpty()) completions else completions + CallKind.KEYED_WRITE
+    return if (options.plainRoute.isEmpty()) completions else completions + CallKind.WRITE + CallKind.KEYED_WRITE
 }
 
+private fun mayRepeat(
+    kind: CallKind,
+    result: AttemptResult,
+): Boolean =
+    when (result) {
+        is AttemptResult.Answered -> false
+        else -> kind != CallKind.WRITE || result.run() == NOT_RUN
+    }
+
 private fun callResult(
+    name: String,
     kind: CallKind,
     results: List<AttemptResult>,
     latencyMilliseconds: Long,
 ): CallResult {
-    val answer = results.last() as? AttemptResult.Answered
-    val refusals = results.filterIsInstance<AttemptResult.Refused>().map { it.run.ifEmpty { "unstated" } }
+    val refusals = results.filterIsInstance<AttemptResult.Refused>().groupingBy { it.run() }.eachCount()
     return CallResult(
+        name = name,
         kind = kind,
-        check = answer?.check,
+        ending = callEnding(results),
         latencyMilliseconds = latencyMilliseconds,
-        firstPartMilliseconds = answer?.firstPartMilliseconds ?: 0,
-        refusals = refusals.groupingBy { it }.eachCount().mapValues { it.value.toLong() },
+        run = runOf(results),
+        refusals = refusals.mapValues { it.value.toLong() },
         cuts = results.count { it is AttemptResult.Cut || it is AttemptResult.NotSent }.toLong(),
     )
 }
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/load/CallerOptions.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/load/CallerOptions.kt
@@ -7,13 +7,14 @@
  * @property addresses entry instances as host:port; a caller takes them in turn, as behind a balancer
  * @property key key that callers present; empty for none
  * @property model route of the completions; empty sends none
- * @property plainRoute route of a plain service for keyed writes; empty sends none
+ * @property plainRoute route of a plain service for writes; empty sends none
  * @property callers callers at the same time, each with a thread of its own
  * @property callsOfCaller calls of each caller
  * @property durationMilliseconds longest time of the run; calls under way then are still awaited
  * @property pauseMilliseconds pause of a caller between two calls
  * @property maxTokens longest answer
- * @property attempts attempts at one call; a call is sent again after a refusal or a cut, a keyed write under its key
+ * @property attempts attempts at one call; a call is sent again after a refusal or a cut, a keyed write under its key,
+ * and a write without a key only when it was not run
  * @property retryPauseMilliseconds pause between two attempts
  * @property timeoutMilliseconds longest wait for an answer
  * @property seed seed of the prompts; two runs with different seeds share no prompt
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/load/RunCallers.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/load/RunCallers.kt
@@ -28,7 +28,7 @@
     while (!ring.offer { counted.complete(Unit) }) Thread.sleep(TALLY_TICK_MILLISECONDS)
     counted.join()
     duty.stop(TALLY_TICK_MILLISECONDS)
-    return tally.report(callers.flatMapTo(LinkedHashSet()) { it.writes }, uncounted.get())
+    return tally.report(uncounted.get())
 }
 
 internal fun startThread(
--- a/stand-ins/src/test/kotlin/org/mulberrypin/standins/engine/EngineDecisionTest.kt
+++ b/stand-ins/src/test/kotlin/org/mulberrypin/standins/engine/EngineDecisionTest.kt
@@ -14,6 +14,8 @@
 import org.mulberrypin.standins.text.generatedAnswer
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.isGreaterThan
@@ -46,18 +48,20 @@
     @Test
     fun `generate the whole text in any rhythm and over any swaps, each part under one version`() {
         runBlocking {
-            checkAll(PropTestConfig(seed = 31), Arb.list(Arb.int(1..120), 40..60), Arb.int(0..30)) { pauses, swapAt ->
+            checkAll(PropTestConfig(seed = 31), Arb.list(Arb.int(1..120), 10..40), Arb.int(0..6)) { pauses, swapAt ->
                 var state = EngineState(weightVersion = 1).with(task(1), task(2), task(3))
                 val effects = mutableListOf<EngineEffect>()
                 var now = 0L
-                pauses.forEachIndexed { index, pause ->
-                    if (index % 31 == swapAt) state = state.order(index + 2L, 1, now).state
+                (pauses + List(SETTLING_EVENTS) { 10_000 }).forEachIndexed { index, pause ->
+                    if (index % 7 == swapAt) state = state.order(index + 2L, 1, now).state
                     now += pause
                     val change = state.advance(options, now)
+                    if (change.state.swap != null) expectThat(change.effects).isEmpty()
                     state = change.state
                     effects += change.effects
                 }
                 val finished = effects.filterIsInstance<EngineEffect.Finish>().map { it.task }
+                expectThat(finished).hasSize(3)
                 finished.forEach { task ->
                     val parts = effects.filterIsInstance<EngineEffect.Part>().filter { it.task == task.task }
                     expectThat(parts.joinToString("") { it.text })
@@ -139,4 +143,9 @@
                 .let { it.running + it.waiting },
         ).isEqualTo(1)
     }
+
+    private companion object {
+        /** Events after which every task has ended, whatever swaps came between. */
+        private const val SETTLING_EVENTS = 10
+    }
 }
--- a/stand-ins/src/test/kotlin/org/mulberrypin/standins/load/RunCallersTest.kt
+++ b/stand-ins/src/test/kotlin/org/mulberrypin/standins/load/RunCallersTest.kt
@@ -55,10 +55,21 @@
     }
 
     @Test
-    fun `notice a write that was executed twice`() {
-        service.faults.set(StandInFaults(loseAnswers = 1))
-        val report = runCallers(writes)
-        expectThat(report.whole).isEqualTo(20)
-        expectThat(doubledWrites(report.writes, service.executions())).isEqualTo(1)
+    fun `notice a write that was executed twice, and send one without a key only once`() {
+        service.faults.set(StandInFaults(loseAnswers = 2))
+        val report = runCallers(writes.copy(callers = 1))
+        expectThat(report.whole).isEqualTo(4)
+        expectThat(report.lost).isEqualTo(1)
+        expectThat(report.doubledWrites(service.executions())).isEqualTo(1)
+        expectThat(service.executions().getValue("load-1-0-0")).isEqualTo(1)
+    }
+
+    @Test
+    fun `notice a refusal that says falsely that a write was not run`() {
+        service.faults.set(StandInFaults(refuse = 20))
+        val report = runCallers(writes.copy(callers = 1))
+        expectThat(report.refused).isEqualTo(mapOf("not_run" to 5L))
+        expectThat(report.falselyNotRun(service.executions())).isEqualTo(0)
+        expectThat(report.falselyNotRun(mapOf("load-1-0-3" to 1))).isEqualTo(1)
     }
 }
