Let failure domains of the platform stand-in run out of reclaimable backend servers

Supply has to be shown where cheaper backend servers are not to be had for a while; an order for them is then refused under its name, and others in the failure domain are not.

--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/platform/OrderState.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/platform/OrderState.kt
@@ -9,10 +9,12 @@
 /**
  * @property answers the answer to each order, by the order's name
  * @property fencingNumbers highest fencing number of the orders carried out, by pool
+ * @property exhaustedFailureDomains failure domains in which no reclaimable backend server is to be had
  */
 internal data class OrderState(
     val answers: PersistentMap<String, BackendServerOrderAnswer> = persistentMapOf(),
     val fencingNumbers: PersistentMap<String, Long> = persistentMapOf(),
+    val exhaustedFailureDomains: Set<String> = emptySet(),
 )
 
 /**
@@ -53,6 +55,10 @@
             "Found fencing number ${order.fencingNumber}, expected $highest or higher."
         }
 
+        order.reclaimable && order.wanted > 0 && order.failureDomain in exhaustedFailureDomains -> {
+            "No reclaimable backend server is to be had in ${order.failureDomain}."
+        }
+
         else -> {
             null
         }
@@ -74,7 +80,7 @@
     answer: BackendServerOrderAnswer,
 ): OrderState {
     val highest = maxOf(fencingNumbers[order.pool] ?: 0, order.fencingNumber)
-    return OrderState(
+    return copy(
         answers = answers.put(order.name, answer),
         fencingNumbers = if (answer.accepted) fencingNumbers.put(order.pool, highest) else fencingNumbers,
     )
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/platform/PlatformState.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/platform/PlatformState.kt
@@ -40,4 +40,5 @@
     copy(
         staleTables = if (faults.staleReads) readTables else null,
         instanceLagMilliseconds = faults.instanceLagMilliseconds,
+        orders = orders.copy(exhaustedFailureDomains = faults.exhaustedFailureDomains.toSet()),
     )
--- a/stand-ins/src/test/kotlin/org/mulberrypin/standins/platform/HttpPlatformTest.kt
+++ b/stand-ins/src/test/kotlin/org/mulberrypin/standins/platform/HttpPlatformTest.kt
@@ -211,6 +211,24 @@
             expectThat(platform.tables.read(listOf("a")).value()).hasSize(1)
         }
 
+        @Test
+        fun `are refused reclaimable backend servers where none is to be had`() {
+            standIn.faults.set(StandInFaults(exhaustedFailureDomains = listOf("armor-a")))
+            val order = BackendServerOrder(name = "o", pool = "pool", failureDomain = "armor-a", wanted = 1)
+            expectThat(
+                platform.orders
+                    .send(order)
+                    .value()
+                    .accepted,
+            ).isTrue()
+            expectThat(
+                platform.orders
+                    .send(order.copy(name = "p", reclaimable = true))
+                    .value()
+                    .accepted,
+            ).isFalse()
+        }
+
         @Test
         fun `read a list of instances that lags`() {
             standIn.faults.set(StandInFaults(instanceLagMilliseconds = 3_600_000))
