--- /dev/null
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/explanations/TeamRecords.kt
@@ -0,0 +1,24 @@
+package org.mulberrypin.decisions.explanations
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import org.mulberrypin.schema.generated.Explanation
+
+/**
+ * The records of one team about one subject, numbered in the order of their arrival.
+ *
+ * @property first number of the oldest record
+ * @property records the records by their numbers
+ */
+internal data class TeamRecords(
+    val first: Long = 0,
+    val records: PersistentMap<Long, Explanation> = persistentMapOf(),
+) {
+    val size: Int
+        get() = records.size
+
+    fun add(explanation: Explanation): TeamRecords =
+        copy(records = records.put(first + records.size, explanation))
+
+    fun dropOldest(): TeamRecords = TeamRecords(first + 1, records.remove(first))
+}
