--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/billing/UsageCounterState.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/billing/UsageCounterState.kt
@@ -11,6 +11,7 @@
  * @property copiedSequence newest snapshot that was sent to a peer
  * @property rowVersion version that the row of this instance is expected to have
  */
+@ConsistentCopyVisibility
 public data class UsageCounterState internal constructor(
     val terms: UsageTerms,
     internal val counts: UsageCounts = UsageCounts(),
