Keep explanations and count events against objectives

Cause: nothing kept the reasons for decisions, and nothing told an operator how fast an error budget is spent.

Weighed for explanations: one ring for all records (a loud team displaces what others may ask about), a ring for each team (no bound on the whole), one bound for each subject in which the team with the most records loses its oldest one. The last is taken. Weighed for the report: counts kept in the table service (a write for each instance and hour, and a scan for each report) or counts held by the instances and asked for by a survey.

Conclusion: the parts stand by themselves and are not yet joined to the entry instance.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/explanations/ExplanationBook.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/explanations/ExplanationBook.kt
@@ -9,10 +9,10 @@
  *
  * @property dropped records that were not kept because there were too many subjects
  */
-public data class ExplanationBook internal constructor(
+public data class ExplanationBook(
     val limits: ExplanationLimits,
     val dropped: Long,
-    internal val subjects: PersistentMap<String, SubjectRecords>,
+    val subjects: PersistentMap<String, SubjectRecords>,
 )
 
 /** Creates a book without records. */
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/explanations/SubjectRecords.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/explanations/SubjectRecords.kt
@@ -9,7 +9,7 @@
  *
  * @property size number of records of all teams
  */
-internal data class SubjectRecords(
+public data class SubjectRecords(
     val size: Int = 0,
     val teams: PersistentMap<String, TeamRecords> = persistentMapOf(),
 ) {
@@ -17,7 +17,7 @@
      * Adds [explanation]. Beyond [limit] records, the oldest one of the team with the most records goes, so that a
      * team with many requests does not displace what other teams may ask about.
      */
-    fun add(
+    public fun add(
         explanation: Explanation,
         limit: Int,
     ): SubjectRecords {
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/explanations/TeamRecords.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/explanations/TeamRecords.kt
@@ -10,15 +10,15 @@
  * @property first number of the oldest record
  * @property records the records by their numbers
  */
-internal data class TeamRecords(
+public data class TeamRecords(
     val first: Long = 0,
     val records: PersistentMap<Long, Explanation> = persistentMapOf(),
 ) {
-    val size: Int
+    public val size: Int
         get() = records.size
 
-    fun add(explanation: Explanation): TeamRecords =
+    public fun add(explanation: Explanation): TeamRecords =
         copy(records = records.put(first + records.size, explanation))
 
-    fun dropOldest(): TeamRecords = TeamRecords(first + 1, records.remove(first))
+    public fun dropOldest(): TeamRecords = TeamRecords(first + 1, records.remove(first))
 }
--- a/service/src/main/kotlin/org/mulberrypin/service/PeerListener.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/PeerListener.kt
@@ -2,6 +2,8 @@
 package org.mulberrypin.service
 
 import com.linecorp.armeria.server.Server
+import org.mulberrypin.runtime.Fault
+import org.mulberrypin.runtime.FaultKind
 import org.mulberrypin.runtime.Outcome
 import org.mulberrypin.schema.generated.CrashReport
 import org.mulberrypin.schema.generated.CrashReportAnswer
@@ -23,6 +25,7 @@
             nextBatch = parts.rollouts.handleNextBatch,
             explain = { _, onOutcome -> onOutcome(Outcome.Success(ExplanationAnswer())) },
             reportCrash = { report, onOutcome -> onOutcome(noteCrash(parts, report)) },
+            countEvents = { _, onOutcome -> onOutcome(notCounted(context)) },
             copyUsage = { _, onOutcome -> onOutcome(Outcome.Success(UsageCopyAnswer())) },
         )
     val instance = context.settings.instance
@@ -41,3 +44,8 @@
     parts.requests.crashReported(report.contentSha256, report.backendServer)
     return Outcome.Success(CrashReportAnswer(known = true))
 }
+
+private fun notCounted(context: EntryContext): Outcome.Failure =
+    Outcome.Failure(
+        Fault("count events", context.settings.instance.name, FaultKind.NOT_RUN, "This instance counts no events."),
+    )
--- a/service/src/main/kotlin/org/mulberrypin/service/peers/GrpcPeerClient.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/peers/GrpcPeerClient.kt
@@ -28,6 +28,7 @@
         explain = peerCall(channels, PeerMethods.explain),
         reportCrash = peerCall(channels, PeerMethods.reportCrash),
         copyUsage = peerCall(channels, PeerMethods.copyUsage),
+        countEvents = peerCall(channels, PeerMethods.countEvents),
     )
 }
 
@@ -75,6 +76,7 @@
         .addMethod(PeerMethods.explain)
         .addMethod(PeerMethods.reportCrash)
         .addMethod(PeerMethods.copyUsage)
+        .addMethod(PeerMethods.countEvents)
         .build()
 
 private class OutcomeObserver<Answer : Any>(
--- a/service/src/main/kotlin/org/mulberrypin/service/peers/PeerHandlers.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/peers/PeerHandlers.kt
@@ -3,6 +3,8 @@
 import org.mulberrypin.runtime.Outcome
 import org.mulberrypin.schema.generated.BatchAnswer
 import org.mulberrypin.schema.generated.BatchRequest
+import org.mulberrypin.schema.generated.BurnAnswer
+import org.mulberrypin.schema.generated.BurnQuestion
 import org.mulberrypin.schema.generated.CrashReport
 import org.mulberrypin.schema.generated.CrashReportAnswer
 import org.mulberrypin.schema.generated.ExplanationAnswer
@@ -25,6 +27,7 @@
     val explain: PeerHandler<ExplanationQuestion, ExplanationAnswer>,
     val reportCrash: PeerHandler<CrashReport, CrashReportAnswer>,
     val copyUsage: PeerHandler<UsageCheckpoint, UsageCopyAnswer>,
+    val countEvents: PeerHandler<BurnQuestion, BurnAnswer>,
 )
 
 /** Handles a request of a peer and hands over the outcome. */
--- a/service/src/main/kotlin/org/mulberrypin/service/peers/PeerServer.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/peers/PeerServer.kt
@@ -25,6 +25,7 @@
                 .handle(PeerMethods.explain, handlers.explain)
                 .handle(PeerMethods.reportCrash, handlers.reportCrash)
                 .handle(PeerMethods.copyUsage, handlers.copyUsage)
+                .handle(PeerMethods.countEvents, handlers.countEvents)
                 .build(),
         ).build()
 
