--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/LengthHistory.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/LengthHistory.kt
@@ -23,7 +23,10 @@
 ) {
     /** Predicts the tokens of the longest sample for the prompt with a digest; 0 when nothing is known. */
     public fun predictTokens(promptDigest: Long): Long =
-        longestByPrompt[promptDigest] ?: if (groups == 0L) 0 else tokens / groups
+        longestByPrompt[promptDigest] ?: meanTokens()
+
+    /** The mean length of the longest samples of all groups; 0 before the first. */
+    public fun meanTokens(): Long = if (groups == 0L) 0 else tokens / groups
 
     /** Predicts the time a group takes whose longest sample has [expectedTokens]; null when nothing is known. */
     public fun predictMilliseconds(expectedTokens: Long): Long? =
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepAssignments.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepAssignments.kt
@@ -4,7 +4,7 @@
 import kotlinx.collections.immutable.persistentMapOf
 import org.mulberrypin.schema.generated.GroupChange
 
-/** Characters of finished groups that wait for one trainer; above it no further group of the step is started. */
+/** Characters of finished groups that wait for trainers on one instance; above it no further group is started. */
 public const val READY_CHARACTER_LIMIT: Long = 16_000_000
 
 /** Assigns waiting groups until the limits of all steps are reached or none waits. */
@@ -17,7 +17,7 @@
     val effects = mutableListOf<StepEffect>()
     while (current.instances.isNotEmpty()) {
         val choice = chooseGroup(policy, current, nowMilliseconds) ?: break
-        val assigned = startAttempt(current, choice, nowMilliseconds)
+        val assigned = startAttempt(policy, current, choice, nowMilliseconds)
         current = assigned.state
         effects += assigned.effects
     }
@@ -29,8 +29,9 @@
     state: StepState,
     nowMilliseconds: Long,
 ): GroupChoice? {
+    val readyCharacters = state.held.values.sumOf { it.readyCharacters }
     val choices = state.held.values
-        .filter { hasRoom(policy, it) }
+        .filter { hasRoom(policy, it) && readyCharacters < READY_CHARACTER_LIMIT }
         .flatMap { step -> choicesOf(state, step, nowMilliseconds) }
     if (choices.isEmpty()) {
         return null
@@ -47,8 +48,7 @@
     step: HeldStep,
 ): Boolean =
     step.waiting.isNotEmpty() &&
-        step.samplesUnderWay < policy.inFlightSamples &&
-        step.readyCharacters < READY_CHARACTER_LIMIT
+        step.samplesUnderWay < policy.inFlightSamples
 
 private fun choicesOf(
     state: StepState,
@@ -65,8 +65,9 @@
     group: Int,
 ): Long = histories[step.key.owner]?.predictTokens(step.promptDigests[group]) ?: 0
 
-/** Starts a further attempt at a group on the instance with the fewest samples under way for this holder. */
+/** Starts a further attempt at a group on the instance that is expected to end it first. */
 internal fun startAttempt(
+    policy: StepPolicy,
     state: StepState,
     choice: GroupChoice,
     nowMilliseconds: Long,
@@ -79,7 +80,7 @@
         ?.map { it.instance }
         .orEmpty()
         .toSet()
-    val instance = chooseInstance(state, choice, avoided, nowMilliseconds)
+    val instance = chooseInstance(policy, state, choice, avoided, nowMilliseconds)
     val granted = step.additionalSamplesLeft.coerceAtMost(ADDITIONAL_SAMPLES_PER_GROUP)
     val number = step.nextAttempt
     val attempt = GroupAttempt(instance, nowMilliseconds, granted)
@@ -97,25 +98,3 @@
 }
 
 private const val ADDITIONAL_SAMPLES_PER_GROUP = 1
-
-private fun chooseInstance(
-    state: StepState,
-    choice: GroupChoice,
-    avoided: Set<String>,
-    nowMilliseconds: Long,
-): String {
-    val load = mutableMapOf<String, Int>()
-    for (step in state.held.values) {
-        for ((group, running) in step.running) {
-            running.attempts.values.forEach { load.merge(it.instance, step.request.groups[group].samples, Int::plus) }
-        }
-    }
-    val names = state.instances.keys
-    val digest = choice.step.promptDigests[choice.group]
-    val failing = state.avoidedUntil.filterValues { it > nowMilliseconds }.keys
-    return names
-        .minus(avoided + failing)
-        .ifEmpty { names.minus(avoided) }
-        .ifEmpty { names }
-        .minWith(compareBy<String> { load[it] ?: 0 }.thenBy { promptDigest(it) xor digest })
-}
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepDecision.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepDecision.kt
@@ -96,5 +96,6 @@
     return state.copy(
         instances = usable.toPersistentMap(),
         avoidedUntil = state.avoidedUntil.filterKeys { it in usable }.toPersistentMap(),
+        paces = state.paces.filterKeys { it in usable }.toPersistentMap(),
     )
 }
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepPolicy.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepPolicy.kt
@@ -13,6 +13,7 @@
  *   included
  * @property renewalMilliseconds time between two heartbeats
  * @property order which group is started next
+ * @property instanceOrder which instance generates it
  */
 public data class StepPolicy(
     val instance: String,
@@ -24,4 +25,5 @@
     val leaseMilliseconds: Long,
     val renewalMilliseconds: Long,
     val order: GroupOrder = longestFirst,
+    val instanceOrder: InstanceOrder = earliestEnd,
 )
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepResults.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepResults.kt
@@ -100,7 +100,9 @@
     val learnt = if (attempt == null) {
         state
     } else {
-        state.learn(step, group, samples, nowMilliseconds - attempt.startedMilliseconds)
+        state
+            .learn(step, group, samples, nowMilliseconds - attempt.startedMilliseconds)
+            .learnPace(attempt.instance, samples, nowMilliseconds - attempt.startedMilliseconds)
     }
     return StepTransition(learnt.put(next), others)
 }
@@ -117,6 +119,17 @@
     return if (hasRoom) copy(histories = histories.put(owner, history)) else this
 }
 
+private fun StepState.learnPace(
+    instance: String,
+    samples: SampleGroup,
+    milliseconds: Long,
+): StepState {
+    val tokens = samples.samples.maxOf { it.tokens }
+    val first = InstancePace(milliseconds.toDouble() / tokens.coerceAtLeast(1))
+    val pace = paces[instance]?.add(milliseconds, tokens) ?: first
+    return if (instance in instances) copy(paces = paces.put(instance, pace)) else this
+}
+
 private fun failAttempt(
     policy: StepPolicy,
     step: HeldStep,
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepState.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepState.kt
@@ -8,6 +8,7 @@
  *
  * @property instances instances that can generate groups, this one included, with their incarnations
  * @property avoidedUntil instances that failed an attempt, with the time until which others are preferred
+ * @property paces how fast instances have generated groups
  * @property held steps that this instance holds, at most [HELD_STEP_LIMIT]
  * @property lookups steps that this instance is asking the table service about, at most [LOOKUP_LIMIT]
  * @property watches heartbeats of the holders of other steps, at most [LOOKUP_LIMIT]
@@ -19,6 +20,7 @@
 public data class StepState(
     val instances: PersistentMap<String, Long> = persistentMapOf(),
     val avoidedUntil: PersistentMap<String, Long> = persistentMapOf(),
+    val paces: PersistentMap<String, InstancePace> = persistentMapOf(),
     val held: PersistentMap<StepKey, HeldStep> = persistentMapOf(),
     val lookups: PersistentMap<StepKey, StepLookup> = persistentMapOf(),
     val watches: PersistentMap<StepKey, HolderWatch> = persistentMapOf(),
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepUpkeep.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepUpkeep.kt
@@ -21,7 +21,7 @@
         .andThen { repeatWrites(it, nowMilliseconds) }
         .andThen { checkWatches(policy, it, nowMilliseconds) }
         .andThen { releaseIdle(policy, it, nowMilliseconds) }
-        .andThen { startStragglersAgain(it, nowMilliseconds) }
+        .andThen { startStragglersAgain(policy, it, nowMilliseconds) }
 
 /** Writes one heartbeat for all held steps, and reads their leases, so that a lost step is noticed without a call. */
 private fun renew(
@@ -101,16 +101,18 @@
  * against the additional samples of the step, unless the instance has left.
  */
 private fun startStragglersAgain(
+    policy: StepPolicy,
     state: StepState,
     nowMilliseconds: Long,
 ): StepTransition =
     state.held.values.fold(StepTransition(state)) { transition, step ->
         step.running.keys.fold(transition) { current, group ->
-            current.andThen { startStragglerAgain(it, step.key, group, nowMilliseconds) }
+            current.andThen { startStragglerAgain(policy, it, step.key, group, nowMilliseconds) }
         }
     }
 
 private fun startStragglerAgain(
+    policy: StepPolicy,
     state: StepState,
     key: StepKey,
     group: Int,
@@ -128,13 +130,13 @@
         }
 
         attempt.instance !in state.instances -> {
-            startAttempt(state, GroupChoice(step, group, state.expectedTokens(step, group)), nowMilliseconds)
+            startAttempt(policy, state, GroupChoice(step, group, state.expectedTokens(step, group)), nowMilliseconds)
         }
 
         step.waiting.isEmpty() && step.additionalSamplesLeft >= samples &&
             isStraggler(state, step, group, nowMilliseconds - attempt.startedMilliseconds) -> {
             val charged = step.copy(additionalSamplesLeft = step.additionalSamplesLeft - samples)
-            startAttempt(state, GroupChoice(charged, group, state.expectedTokens(step, group)), nowMilliseconds)
+            startAttempt(policy, state, GroupChoice(charged, group, state.expectedTokens(step, group)), nowMilliseconds)
         }
 
         else -> {
