Keep records of requests that must run at most once

Ruled out: a write for each request (budget of the table service), a lease for each key (the holder may pause past it), reading before writing (two instances may both read nothing).

Change: a row named by a digest of team and key is written on the condition that it is missing before a request may be sent; up to 64 records share a commit, at most four commits a second for each instance; a refused attempt whose commit may still arrive is fenced by a row that says it did not run. Rows are honoured for at least twelve hours and then forgotten.

--- /dev/null
+++ b/service/src/main/kotlin/org/mulberrypin/service/attempts/AttemptStore.kt
@@ -0,0 +1,72 @@
+/** The rows of the table service that hold records of attempts. */
+package org.mulberrypin.service.attempts
+
+import org.mulberrypin.decisions.attempts.AttemptEvent
+import org.mulberrypin.decisions.attempts.AttemptOperation
+import org.mulberrypin.decisions.attempts.AttemptRow
+import org.mulberrypin.platform.TableService
+import org.mulberrypin.runtime.FaultKind
+import org.mulberrypin.runtime.Outcome
+import org.mulberrypin.runtime.map
+import org.mulberrypin.runtime.parseWireJson
+import org.mulberrypin.runtime.then
+import org.mulberrypin.runtime.wireJson
+import org.mulberrypin.schema.generated.AttemptRecord
+import org.mulberrypin.schema.generated.TableCommit
+import org.mulberrypin.schema.generated.TableCondition
+import org.mulberrypin.schema.generated.TableRow
+import org.mulberrypin.schema.generated.TableWrite
+
+/** Writes the records of [operations] in commit [number]. */
+internal fun commitAttempts(
+    tables: TableService,
+    number: Long,
+    operations: List<AttemptOperation>,
+): AttemptEvent {
+    val commit = TableCommit(
+        conditions = operations.flatMap { it.conditions.entries }.map { TableCondition(it.key, it.value) },
+        writes = operations.map { TableWrite(it.target, encode(it.record)) },
+    )
+    return when (val outcome = tables.commit(commit)) {
+        is Outcome.Failure -> {
+            AttemptEvent.CommitFailed(number, uncertain = outcome.fault.kind == FaultKind.UNKNOWN)
+        }
+
+        is Outcome.Success -> {
+            if (outcome.value.committed) AttemptEvent.Committed(number) else conflicted(number, outcome.value.conflicts)
+        }
+    }
+}
+
+/** Deletes some of the rows whose keys start with [prefix]. */
+internal fun forgetAttempts(
+    tables: TableService,
+    prefix: String,
+): Outcome<Unit> =
+    tables.scan(prefix).then { rows ->
+        val writes = rows.take(FORGET_LIMIT).map { TableWrite(it.key, delete = true) }
+        if (writes.isEmpty()) Outcome.Success(Unit) else tables.commit(TableCommit(writes = writes)).map { }
+    }
+
+/** A row that cannot be read counts as failed: it must not be taken for a missing one. */
+private fun conflicted(
+    number: Long,
+    rows: List<TableRow>,
+): AttemptEvent {
+    val parsed = rows.map { row -> parse(row) }
+    return if (parsed.any { it == null }) {
+        AttemptEvent.CommitFailed(number, uncertain = false)
+    } else {
+        AttemptEvent.Conflicted(number, parsed.filterNotNull())
+    }
+}
+
+private fun parse(row: TableRow): AttemptRow? =
+    when (val record = parseWireJson(row.value, AttemptRecord.serializer(), "attempt record", row.key)) {
+        is Outcome.Success -> AttemptRow(row.key, row.version, record.value)
+        is Outcome.Failure -> null
+    }
+
+private fun encode(record: AttemptRecord): String = wireJson.encodeToString(AttemptRecord.serializer(), record)
+
+private const val FORGET_LIMIT = 100
