--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/attempts/AttemptConflicts.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/attempts/AttemptConflicts.kt
@@ -38,6 +38,7 @@
     val row = rows.firstOrNull { row -> operation.conditions[row.key].let { it != null && it != row.version } }
     return when {
         row == null -> AttemptTransition(putBack(state, operation))
+        row.version == 0L && operation.begins -> AttemptTransition(putBack(state, over(operation, row)))
         row.record.instance == operation.record.instance -> resolveOwn(state, operation, row)
         !operation.begins -> AttemptTransition(state)
         row.record.state == AttemptState.NOT_RUN -> AttemptTransition(putBack(state, over(operation, row)))
--- a/service/src/main/kotlin/org/mulberrypin/service/attempts/AttemptStore.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/attempts/AttemptStore.kt
@@ -13,6 +13,7 @@
 import org.mulberrypin.runtime.wireJson
 import org.mulberrypin.schema.generated.AttemptRecord
 import org.mulberrypin.schema.generated.TableCommit
+import org.mulberrypin.schema.generated.TableCommitAnswer
 import org.mulberrypin.schema.generated.TableCondition
 import org.mulberrypin.schema.generated.TableRow
 import org.mulberrypin.schema.generated.TableWrite
@@ -28,16 +29,21 @@
         writes = operations.map { TableWrite(it.target, encode(it.record)) },
     )
     return when (val outcome = tables.commit(commit)) {
-        is Outcome.Failure -> {
-            AttemptEvent.CommitFailed(number, uncertain = outcome.fault.kind == FaultKind.UNKNOWN)
-        }
-
-        is Outcome.Success -> {
-            if (outcome.value.committed) AttemptEvent.Committed(number) else conflicted(number, outcome.value.conflicts)
-        }
+        is Outcome.Failure -> AttemptEvent.CommitFailed(number, uncertain = outcome.fault.kind == FaultKind.UNKNOWN)
+        is Outcome.Success -> endOf(number, outcome.value)
     }
 }
 
+private fun endOf(
+    number: Long,
+    answer: TableCommitAnswer,
+): AttemptEvent =
+    if (answer.committed) {
+        AttemptEvent.Committed(number)
+    } else {
+        AttemptEvent.Conflicted(number, answer.conflicts.map(::parse))
+    }
+
 /** Deletes some of the rows whose keys start with [prefix]. */
 internal fun forgetAttempts(
     tables: TableService,
@@ -48,25 +54,15 @@
         if (writes.isEmpty()) Outcome.Success(Unit) else tables.commit(TableCommit(writes = writes)).map { }
     }
 
-/** A row that cannot be read counts as failed: it must not be taken for a missing one. */
-private fun conflicted(
-    number: Long,
-    rows: List<TableRow>,
-): AttemptEvent {
-    val parsed = rows.map { row -> parse(row) }
-    return if (parsed.any { it == null }) {
-        AttemptEvent.CommitFailed(number, uncertain = false)
-    } else {
-        AttemptEvent.Conflicted(number, parsed.filterNotNull())
-    }
+/**
+ * A missing row has version 0. A row that cannot be read is taken for the record of somebody else with another content,
+ * so that it stops the attempts under its own key and no others.
+ */
+private fun parse(row: TableRow): AttemptRow {
+    val record = parseWireJson(row.value, AttemptRecord.serializer(), "attempt record", row.key)
+    return AttemptRow(row.key, row.version, (record as? Outcome.Success)?.value ?: AttemptRecord())
 }
 
-private fun parse(row: TableRow): AttemptRow? =
-    when (val record = parseWireJson(row.value, AttemptRecord.serializer(), "attempt record", row.key)) {
-        is Outcome.Success -> AttemptRow(row.key, row.version, record.value)
-        is Outcome.Failure -> null
-    }
-
 private fun encode(record: AttemptRecord): String = wireJson.encodeToString(AttemptRecord.serializer(), record)
 
 private const val FORGET_LIMIT = 100
