--- a/service/src/main/kotlin/org/mulberrypin/service/attempts/StartAttemptPart.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/attempts/StartAttemptPart.kt
@@ -54,5 +54,5 @@
 private const val EVENT_CAPACITY = 4_096
 private const val STORE_CAPACITY = 4
 private const val TICK_MILLISECONDS = 50L
-private const val IDLE_MILLISECONDS = 60_000L
+private const val IDLE_MILLISECONDS = 200L
 private const val STOP_MILLISECONDS = 5_000L
--- a/service/src/main/kotlin/org/mulberrypin/service/configuration/StartConfigurationPart.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/configuration/StartConfigurationPart.kt
@@ -50,5 +50,5 @@
 private const val EVENT_CAPACITY = 1_024
 private const val STORE_CAPACITY = 64
 private const val TICK_MILLISECONDS = 100L
-private const val IDLE_MILLISECONDS = 60_000L
+private const val IDLE_MILLISECONDS = 200L
 private const val STOP_MILLISECONDS = 5_000L
--- a/service/src/main/kotlin/org/mulberrypin/service/membership/StartMembershipPart.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/membership/StartMembershipPart.kt
@@ -82,5 +82,5 @@
 private const val EVENT_CAPACITY = 1_024
 private const val LIST_CAPACITY = 16
 private const val TICK_MILLISECONDS = 500L
-private const val IDLE_MILLISECONDS = 60_000L
+private const val IDLE_MILLISECONDS = 200L
 private const val STOP_MILLISECONDS = 5_000L
--- /dev/null
+++ b/service/src/test/kotlin/org/mulberrypin/service/configuration/SilentPeers.kt
@@ -0,0 +1,14 @@
+package org.mulberrypin.service.configuration
+
+import org.mulberrypin.service.peers.PeerClient
+
+/** Peers that never answer; a test replaces the calls it needs. */
+internal fun silentPeers(): PeerClient =
+    PeerClient(
+        announce = { _, _, _, _ -> },
+        runGroup = { _, _, _, _ -> },
+        nextBatch = { _, _, _, _ -> },
+        explain = { _, _, _, _ -> },
+        reportCrash = { _, _, _, _ -> },
+        copyUsage = { _, _, _, _ -> },
+    )
