--- a/service/src/main/kotlin/org/mulberrypin/service/CallerServer.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/CallerServer.kt
@@ -25,6 +25,7 @@
             authenticate = parts.configuration.authenticate,
             configuration = parts.configuration.current,
             certain = parts.configuration.certain,
+            attempts = parts.attempts,
             arrivals = arrivalFactory(context),
         )
     val instance = context.settings.instance
@@ -34,6 +35,8 @@
     plainServiceRoutes(frontEnd)(builder)
     parts.configuration.routes(builder)
     parts.rollouts.routes(builder)
+    parts.explanations.routes(builder, parts.configuration.authenticate, parts.configuration.authenticateOperator)
+    parts.objectives.routes(builder, parts.configuration.authenticateOperator)
     healthRoutes(builder, readiness, parts.configuration.certain, scrape)
     return builder.build()
 }
--- a/service/src/main/kotlin/org/mulberrypin/service/EntryParts.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/EntryParts.kt
@@ -1,8 +1,11 @@
 package org.mulberrypin.service
 
 import org.mulberrypin.runtime.Duty
+import org.mulberrypin.service.attempts.AttemptPart
 import org.mulberrypin.service.configuration.ConfigurationPart
+import org.mulberrypin.service.explanations.ExplanationPart
 import org.mulberrypin.service.membership.MembershipPart
+import org.mulberrypin.service.objectives.ObjectivePart
 import org.mulberrypin.service.requests.RequestPart
 import org.mulberrypin.service.rollouts.RolloutPart
 
@@ -12,5 +15,8 @@
     val configuration: ConfigurationPart,
     val rollouts: RolloutPart,
     val membership: MembershipPart,
+    val attempts: AttemptPart,
+    val explanations: ExplanationPart,
+    val objectives: ObjectivePart,
     val certaintyWatch: Duty,
 )
--- a/service/src/main/kotlin/org/mulberrypin/service/EntryShutdown.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/EntryShutdown.kt
@@ -31,6 +31,9 @@
         parts.rollouts.stop()
         parts.requests.stop()
         parts.configuration.stop()
+        parts.attempts.stop()
+        parts.objectives.stop()
+        parts.explanations.stop()
         logger.info("Stopped.")
     }
 
@@ -40,7 +43,8 @@
         while (isBusy() && context.clock.readMilliseconds() < deadlineMilliseconds) pause(CHECK_MILLISECONDS)
     }
 
-    private fun isBusy(): Boolean = parts.requests.inFlight() > 0 || parts.rollouts.inFlight() > 0
+    private fun isBusy(): Boolean =
+        parts.requests.inFlight() > 0 || parts.rollouts.inFlight() > 0 || parts.attempts.waiting() > 0
 
     private fun pause(milliseconds: Long) = Thread.sleep(milliseconds)
 
--- a/service/src/main/kotlin/org/mulberrypin/service/PeerListener.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/PeerListener.kt
@@ -2,12 +2,9 @@
 package org.mulberrypin.service
 
 import com.linecorp.armeria.server.Server
-import org.mulberrypin.runtime.Fault
-import org.mulberrypin.runtime.FaultKind
 import org.mulberrypin.runtime.Outcome
 import org.mulberrypin.schema.generated.CrashReport
 import org.mulberrypin.schema.generated.CrashReportAnswer
-import org.mulberrypin.schema.generated.ExplanationAnswer
 import org.mulberrypin.schema.generated.UsageCopyAnswer
 import org.mulberrypin.service.peers.PeerHandlers
 import org.mulberrypin.service.peers.peerService
@@ -23,10 +20,10 @@
             announce = parts.configuration.handleAnnounce,
             runGroup = parts.rollouts.handleRunGroup,
             nextBatch = parts.rollouts.handleNextBatch,
-            explain = { _, onOutcome -> onOutcome(Outcome.Success(ExplanationAnswer())) },
+            explain = parts.explanations.handlePeer,
             reportCrash = { report, onOutcome -> onOutcome(noteCrash(parts, report)) },
-            countEvents = { _, onOutcome -> onOutcome(notCounted(context)) },
             copyUsage = { _, onOutcome -> onOutcome(Outcome.Success(UsageCopyAnswer())) },
+            countEvents = parts.objectives.handlePeer,
         )
     val instance = context.settings.instance
     return Server
@@ -44,8 +41,3 @@
     parts.requests.crashReported(report.contentSha256, report.backendServer)
     return Outcome.Success(CrashReportAnswer(known = true))
 }
-
-private fun notCounted(context: EntryContext): Outcome.Failure =
-    Outcome.Failure(
-        Fault("count events", context.settings.instance.name, FaultKind.NOT_RUN, "This instance counts no events."),
-    )
--- a/service/src/main/kotlin/org/mulberrypin/service/StartEntryInstance.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/StartEntryInstance.kt
@@ -15,6 +15,7 @@
 import org.mulberrypin.runtime.ServiceClock
 import org.mulberrypin.runtime.systemClock
 import org.mulberrypin.schema.generated.EntrySettings
+import org.mulberrypin.service.explanations.startExplanationPart
 import org.mulberrypin.service.peers.grpcPeerClient
 import java.util.concurrent.CompletionException
 
@@ -24,18 +25,20 @@
     platform: Platform,
     clock: ServiceClock = systemClock(),
 ): Outcome<EntryInstance> {
+    val peers = grpcPeerClient()
     val metrics = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    val explanations = startExplanationPart(settings.instance.name, clock, metrics, peers.explain)
     val context =
         EntryContext(
             settings = settings,
             incarnation = clock.readWallMilliseconds(),
             clock = clock,
             platform = platform,
-            peers = grpcPeerClient(),
+            peers = peers,
             metrics = metrics,
-            explain = {},
+            explain = explanations.explain,
         )
-    val parts = startParts(context)
+    val parts = startParts(context, explanations)
     val readiness = Readiness()
     val callerServer = callerServer(context, parts, readiness, metrics::scrape)
     val peerServer = peerServer(context, parts)
--- a/service/src/main/kotlin/org/mulberrypin/service/StartParts.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/StartParts.kt
@@ -1,13 +1,21 @@
 /** Starts the parts of an entry instance in the order in which they need each other. */
 package org.mulberrypin.service
 
+import org.mulberrypin.decisions.objectives.ObjectiveEvent
+import org.mulberrypin.decisions.requests.RequestEffect
 import org.mulberrypin.runtime.Duty
 import org.mulberrypin.runtime.boundedRing
 import org.mulberrypin.runtime.startDuty
 import org.mulberrypin.schema.generated.Configuration
+import org.mulberrypin.schema.generated.CrashReport
+import org.mulberrypin.schema.generated.InstanceEntry
+import org.mulberrypin.service.attempts.startAttemptPart
 import org.mulberrypin.service.configuration.ConfigurationPart
 import org.mulberrypin.service.configuration.startConfigurationPart
+import org.mulberrypin.service.explanations.ExplanationPart
 import org.mulberrypin.service.membership.startMembershipPart
+import org.mulberrypin.service.objectives.ObjectivePart
+import org.mulberrypin.service.objectives.startObjectivePart
 import org.mulberrypin.service.requests.RequestOutlets
 import org.mulberrypin.service.requests.RequestPart
 import org.mulberrypin.service.requests.startRequestPart
@@ -15,38 +23,74 @@
 import org.mulberrypin.service.rollouts.startRolloutPart
 import java.util.concurrent.atomic.AtomicReference
 
-internal fun startParts(context: EntryContext): EntryParts {
-    val outlets =
-        RequestOutlets(
-            recordUsage = { true },
-            recordObjective = {},
-            reportCrash = {},
-            explain = context.explain,
-        )
-    val requests = startRequestPart(context, outlets)
+internal fun startParts(
+    context: EntryContext,
+    explanations: ExplanationPart,
+): EntryParts {
+    val peers = AtomicReference(emptyList<InstanceEntry>())
+    val objectives = startObjectivePart(context.settings.instance.name, context.clock, context.peers.countEvents)
+    val requests = startRequestPart(context, requestOutlets(context, objectives, peers::get))
     val rollouts = AtomicReference<RolloutPart>()
     val configuration =
         startConfigurationPart(context) { next: Configuration ->
             requests.configurationChanged(next)
+            objectives.configurationChanged(next)
             rollouts.get()?.configurationChanged?.invoke(next)
         }
     rollouts.set(startRolloutPart(context, requests, configuration.authenticate))
     rollouts.get().configurationChanged(configuration.current())
     val membership =
         startMembershipPart(context) { instances ->
+            peers.set(instances)
             requests.instancesChanged(instances.size)
             configuration.peersChanged(instances)
             rollouts.get().peersChanged(instances)
+            explanations.peersChanged(instances)
+            objectives.peersChanged(instances)
         }
     return EntryParts(
         requests = requests,
         configuration = configuration,
         rollouts = rollouts.get(),
         membership = membership,
+        attempts = startAttemptPart(context),
+        explanations = explanations,
+        objectives = objectives,
         certaintyWatch = startCertaintyWatch(context, configuration, requests),
     )
 }
 
+private fun requestOutlets(
+    context: EntryContext,
+    objectives: ObjectivePart,
+    peers: () -> List<InstanceEntry>,
+): RequestOutlets =
+    RequestOutlets(
+        recordUsage = { true },
+        recordObjective = { objectives.record(ObjectiveEvent(it.team, it.route, it.good)) },
+        reportCrash = { reportCrash(context, it, peers()) },
+        explain = context.explain,
+    )
+
+/** Tells all peers about a crash; crashes are rare, so that the number of messages stays small. */
+private fun reportCrash(
+    context: EntryContext,
+    crash: RequestEffect.ReportCrash,
+    peers: List<InstanceEntry>,
+) {
+    val report =
+        CrashReport(
+            contentSha256 = crash.contentDigest,
+            team = crash.team,
+            backendServer = crash.server,
+            failureDomain = crash.failureDomain,
+            instance = context.settings.instance.name,
+            running = crash.running,
+        )
+    val others = peers.filter { it.name != context.settings.instance.name }
+    others.forEach { context.peers.reportCrash(it.peerAddress, CRASH_REPORT_MILLISECONDS, report) {} }
+}
+
 /** Tells the request duty whether the configuration is known to be in force, so that waiting requests end too. */
 private fun startCertaintyWatch(
     context: EntryContext,
@@ -58,3 +102,4 @@
     }
 
 private const val CERTAINTY_MILLISECONDS = 250L
+private const val CRASH_REPORT_MILLISECONDS = 2_000L
--- a/service/src/main/kotlin/org/mulberrypin/service/frontend/FrontEndParts.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/frontend/FrontEndParts.kt
@@ -2,6 +2,7 @@
 
 import org.mulberrypin.decisions.requests.Caller
 import org.mulberrypin.schema.generated.Configuration
+import org.mulberrypin.service.attempts.AttemptPart
 import org.mulberrypin.service.requests.RequestPart
 
 /** What the front ends for callers are built from. */
@@ -10,5 +11,6 @@
     val authenticate: (String?) -> Caller?,
     val configuration: () -> Configuration,
     val certain: () -> Boolean,
+    val attempts: AttemptPart,
     val arrivals: ArrivalFactory,
 )
--- a/service/src/main/kotlin/org/mulberrypin/service/frontend/PlainAnswer.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/frontend/PlainAnswer.kt
@@ -11,11 +11,13 @@
  *
  * @property response completed with the HTTP response
  * @property acceptAnswer takes the backend server's answer, before the reply that it is whole
+ * @property respond sends a response that was made without the backend server
  * @property acceptReply takes the replies in their order
  */
 internal data class PlainAnswer(
     val response: CompletableFuture<HttpResponse>,
     val acceptAnswer: (AggregatedHttpResponse) -> Unit,
+    val respond: (AggregatedHttpResponse) -> Unit,
     val acceptReply: (RequestReply) -> Unit,
 )
 
@@ -26,6 +28,7 @@
     return PlainAnswer(
         response = response,
         acceptAnswer = received::set,
+        respond = { response.complete(it.toHttpResponse()) },
         acceptReply = { reply -> finalResponse(reply, received.get())?.let { response.complete(it.toHttpResponse()) } },
     )
 }
--- a/service/src/main/kotlin/org/mulberrypin/service/frontend/PlainServiceFrontEnd.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/frontend/PlainServiceFrontEnd.kt
@@ -49,12 +49,24 @@
     val answer = plainAnswer()
     context.whenRequestCancelled().thenAccept { parts.requests.cancel(request) }
     val submission = PlainSubmission(arrival, forwarded(call, arrival.name), answer.acceptAnswer, answer.acceptReply)
-    if (!parts.requests.submitPlain(submission)) {
-        answer.acceptReply(RequestReply.NotRun(Refusal.OVERLOADED, OVERLOADED_RETRY_MILLISECONDS, "front end", ""))
+    val idempotencyKey = call.headers().get(idempotencyKeyHeader)
+    if (arrival.repeatable || idempotencyKey == null) {
+        submitOrRefuse(parts, submission)
+    } else {
+        runKeyed(parts.attempts, submission, idempotencyKey, answer.respond) { submitOrRefuse(parts, it) }
     }
     return HttpResponse.of(answer.response)
 }
 
+private fun submitOrRefuse(
+    parts: FrontEndParts,
+    submission: PlainSubmission,
+) {
+    if (!parts.requests.submitPlain(submission)) {
+        submission.onReply(RequestReply.NotRun(Refusal.OVERLOADED, OVERLOADED_RETRY_MILLISECONDS, "front end", ""))
+    }
+}
+
 private fun arrivalOf(
     parts: FrontEndParts,
     call: AggregatedHttpRequest,
@@ -98,6 +110,8 @@
     return AggregatedHttpRequest.of(headers.build(), call.content())
 }
 
+private val idempotencyKeyHeader = HttpHeaderNames.of("idempotency-key")
+
 private val forwardedHeaders =
     listOf(
         HttpHeaderNames.ACCEPT,
@@ -105,7 +119,7 @@
         HttpHeaderNames.CONTENT_TYPE,
         HttpHeaderNames.IF_MATCH,
         HttpHeaderNames.IF_NONE_MATCH,
-        HttpHeaderNames.of("idempotency-key"),
+        idempotencyKeyHeader,
     )
 
 private const val SERVICES_PATH = "/services/"
--- a/service/src/main/kotlin/org/mulberrypin/service/peers/PeerClient.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/peers/PeerClient.kt
@@ -1,7 +1,5 @@
 package org.mulberrypin.service.peers
 
-import org.mulberrypin.runtime.Fault
-import org.mulberrypin.runtime.FaultKind
 import org.mulberrypin.runtime.Outcome
 import org.mulberrypin.schema.generated.BatchAnswer
 import org.mulberrypin.schema.generated.BatchRequest
@@ -29,7 +27,7 @@
     val explain: PeerCall<ExplanationQuestion, ExplanationAnswer>,
     val reportCrash: PeerCall<CrashReport, CrashReportAnswer>,
     val copyUsage: PeerCall<UsageCheckpoint, UsageCopyAnswer>,
-    val countEvents: PeerCall<BurnQuestion, BurnAnswer> = ::refuseCount,
+    val countEvents: PeerCall<BurnQuestion, BurnAnswer>,
 )
 
 /** Calls the peer at an address within a number of milliseconds and hands over the outcome. */
@@ -39,12 +37,3 @@
     request: Request,
     onOutcome: (Outcome<Answer>) -> Unit,
 ) -> Unit
-
-/** Stands for a transport that asks no peer for its counts. */
-@Suppress("UnusedParameter")
-private fun refuseCount(
-    address: String,
-    timeoutMilliseconds: Long,
-    question: BurnQuestion,
-    onOutcome: (Outcome<BurnAnswer>) -> Unit,
-) = onOutcome(Outcome.Failure(Fault("peer CountEvents", address, FaultKind.NOT_RUN, "The transport asks no peers.")))
--- a/service/src/test/kotlin/org/mulberrypin/service/configuration/SilentPeers.kt
+++ b/service/src/test/kotlin/org/mulberrypin/service/configuration/SilentPeers.kt
@@ -11,4 +11,5 @@
         explain = { _, _, _, _ -> },
         reportCrash = { _, _, _, _ -> },
         copyUsage = { _, _, _, _ -> },
+        countEvents = { _, _, _, _ -> },
     )
--- a/service/src/test/kotlin/org/mulberrypin/service/rollouts/RolloutPartTest.kt
+++ b/service/src/test/kotlin/org/mulberrypin/service/rollouts/RolloutPartTest.kt
@@ -193,6 +193,7 @@
                 explain = { _, _, _, _ -> },
                 reportCrash = { _, _, _, _ -> },
                 copyUsage = { _, _, _, _ -> },
+                countEvents = { _, _, _, _ -> },
             ),
             metrics = SimpleMeterRegistry(),
             explain = {},
