--- a/command/src/main/kotlin/org/mulberrypin/command/AllCommands.kt
+++ b/command/src/main/kotlin/org/mulberrypin/command/AllCommands.kt
@@ -12,6 +12,7 @@
         keyWithdrawCommand,
         statusCommand,
         explainCommand,
+        burnCommand,
         standInPlatformCommand,
         standInEngineCommand,
         standInServiceCommand,
--- a/command/src/main/kotlin/org/mulberrypin/command/ConfigurationCommands.kt
+++ b/command/src/main/kotlin/org/mulberrypin/command/ConfigurationCommands.kt
@@ -82,10 +82,10 @@
         console.answer("Accepted as version ${answer.currentVersion}, $force.")
         return ExitCode.GOOD
     }
-    console.complain(
-        "Refused: the patch expects version ${answer.expectedVersion}, the configuration has version " +
-            "${answer.currentVersion}.",
-    )
+    val isStale = answer.expectedVersion != answer.currentVersion
+    val versions = "the patch expects version ${answer.expectedVersion}, the configuration has version"
+    val reason = if (isStale) "$versions ${answer.currentVersion}." else "version ${answer.currentVersion} stays."
+    console.complain("Refused: $reason")
     answer.faults.forEach(console.complain)
     return ExitCode.FAILED
 }
--- a/command/src/main/kotlin/org/mulberrypin/command/OperatorClient.kt
+++ b/command/src/main/kotlin/org/mulberrypin/command/OperatorClient.kt
@@ -79,18 +79,23 @@
     fun patch(patch: ConfigurationPatch): Outcome<PatchAnswer> {
         val headers = headers(HttpMethod.PATCH, "configuration").contentType(MediaType.JSON_UTF_8).build()
         val body = wireJson.encodeToString(ConfigurationPatch.serializer(), patch)
-        return send(PATCH_STEP, headers, body).then { answer ->
-            when (answer.status()) {
-                HttpStatus.OK, HttpStatus.CONFLICT, HttpStatus.BAD_REQUEST -> {
-                    parseWireJson(answer.contentUtf8(), PatchAnswer.serializer(), PATCH_STEP, address)
-                }
+        return send(PATCH_STEP, headers, body).then { answer -> patchOutcome(answer) }
+    }
+
+    private fun patchOutcome(answer: AggregatedHttpResponse): Outcome<PatchAnswer> =
+        when (answer.status()) {
+            HttpStatus.OK, HttpStatus.CONFLICT, HttpStatus.UNPROCESSABLE_ENTITY -> {
+                parseWireJson(answer.contentUtf8(), PatchAnswer.serializer(), PATCH_STEP, address)
+            }
 
-                else -> {
-                    refused(PATCH_STEP, answer)
-                }
+            HttpStatus.SERVICE_UNAVAILABLE -> {
+                Outcome.Failure(Fault(PATCH_STEP, address, FaultKind.NOT_RUN, answer.contentUtf8()))
+            }
+
+            else -> {
+                refused(PATCH_STEP, answer)
             }
         }
-    }
 
     private fun headers(
         method: HttpMethod,
--- a/service/src/test/kotlin/org/mulberrypin/service/rollouts/RolloutPartTest.kt
+++ b/service/src/test/kotlin/org/mulberrypin/service/rollouts/RolloutPartTest.kt
@@ -192,6 +192,7 @@
                 nextBatch = callOf { it.handleNextBatch },
                 explain = { _, _, _, _ -> },
                 reportCrash = { _, _, _, _ -> },
+                copyUsage = { _, _, _, _ -> },
             ),
             metrics = SimpleMeterRegistry(),
             explain = {},
