--- a/command/src/main/kotlin/org/mulberrypin/command/AllCommands.kt
+++ b/command/src/main/kotlin/org/mulberrypin/command/AllCommands.kt
@@ -15,6 +15,7 @@
         keyWithdrawCommand,
         statusCommand,
         explainCommand,
+        burnCommand,
         standInPlatformCommand,
         standInEngineCommand,
         standInServiceCommand,
