--- /dev/null
+++ b/command/src/test/kotlin/org/mulberrypin/command/processes/ProcessPathTest.kt
@@ -0,0 +1,105 @@
+package org.mulberrypin.command.processes
+
+import org.junit.jupiter.api.DisplayName
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.io.TempDir
+import org.mulberrypin.standins.load.CallerOptions
+import org.mulberrypin.standins.load.CallerReport
+import org.mulberrypin.standins.load.TrainerOptions
+import org.mulberrypin.standins.load.TrainerReport
+import org.mulberrypin.standins.load.doubledWrites
+import org.mulberrypin.standins.load.falselyNotRun
+import org.mulberrypin.standins.load.runCallers
+import org.mulberrypin.standins.load.runTrainer
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
+import java.nio.file.Path
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.CompletableFuture.supplyAsync
+import java.util.concurrent.Executors
+
+@DisplayName("The whole path as separate processes")
+class ProcessPathTest {
+    @TempDir
+    lateinit var folder: Path
+
+    @Test
+    fun `loses and doubles nothing while one instance is killed and another is frozen`() {
+        val network = ProcessNetwork(folder)
+        try {
+            expectThat(network.configure().accepted).isTrue()
+            val trainer = inBackground { runTrainer(trainerOptions(network)) }
+            val callers = inBackground { runCallers(callerOptions(network)) }
+            disturb(network)
+            checkCallers(callers.join(), network.executions())
+            checkTrainer(trainer.join())
+            expectThat(network.instances.first().terminate()).isTrue()
+        } finally {
+            network.stop()
+        }
+    }
+
+    /** Kills the last instance and freezes the second one for longer than a lease lasts. */
+    private fun disturb(network: ProcessNetwork) {
+        Thread.sleep(UNDISTURBED_MILLISECONDS)
+        network.instances.last().kill()
+        network.instances[1].freeze()
+        Thread.sleep(FROZEN_MILLISECONDS)
+        network.instances[1].thaw()
+    }
+
+    private fun checkCallers(
+        report: CallerReport,
+        executions: Map<String, Int>,
+    ) {
+        expectThat(report.calls).isEqualTo(report.whole + report.refused.values.sum())
+        expectThat(report.lost + report.crossed + report.doubled + report.damaged).isEqualTo(0)
+        expectThat(report.doubledWrites(executions)).isEqualTo(0)
+        expectThat(report.falselyNotRun(executions)).isEqualTo(0)
+    }
+
+    private fun checkTrainer(report: TrainerReport) {
+        expectThat(report.failures).isEqualTo(emptyList())
+        expectThat(report.stepsWhole).isEqualTo(report.stepsAsked)
+        expectThat(report.lost + report.doubled + report.crossed + report.damaged).isEqualTo(0)
+        expectThat(report.stale + report.unnamed).isEqualTo(0)
+    }
+
+    private fun callerOptions(network: ProcessNetwork): CallerOptions =
+        CallerOptions(
+            addresses = network.instances.map { it.address },
+            key = ProcessNetwork.CALLER_KEY,
+            model = ProcessNetwork.MODEL,
+            plainRoute = ProcessNetwork.SHOP,
+            callers = 4,
+            callsOfCaller = 60,
+            durationMilliseconds = 60_000,
+            pauseMilliseconds = 100,
+            maxTokens = 16,
+            attempts = 12,
+            timeoutMilliseconds = 8_000,
+        )
+
+    private fun trainerOptions(network: ProcessNetwork): TrainerOptions =
+        TrainerOptions(
+            addresses = network.instances.map { it.address },
+            key = ProcessNetwork.TRAINER_KEY,
+            trainer = "test",
+            model = ProcessNetwork.MODEL,
+            steps = 4,
+            groupsOfStep = 12,
+            samplesOfGroup = 4,
+            maxTokens = 160,
+            stepMilliseconds = 120_000,
+            timeoutMilliseconds = 8_000,
+        )
+
+    private fun <Report> inBackground(run: () -> Report): CompletableFuture<Report> =
+        supplyAsync(run, Executors.newSingleThreadExecutor())
+
+    private companion object {
+        private const val UNDISTURBED_MILLISECONDS = 2_000L
+        private const val FROZEN_MILLISECONDS = 12_000L
+    }
+}
