--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/HttpExchange.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/HttpExchange.kt
@@ -1,3 +1,4 @@
+/** One request and its response, apart from the HTTP library, so that duties answer without knowing it. */
 package org.mulberrypin.standins
 
 import com.linecorp.armeria.common.HttpResponse
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/engine/EngineRoutes.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/engine/EngineRoutes.kt
@@ -54,7 +54,12 @@
 ): EngineOperationReader =
     { exchange, body ->
         parseWireJson(body.contentUtf8(), CompletionRequest.serializer(), "completion", "client").map { request ->
-            val form = ChunkForm(isChat, id = "answer-${System.nanoTime()}", model = request.model.ifEmpty { model })
+            val form =
+                ChunkForm(
+                    isChat,
+                    id = body.headers().get("x-request-id") ?: "answer",
+                    model = request.model.ifEmpty { model },
+                )
             val output = if (request.stream) streamedOutput(exchange, form) else wholeOutput(exchange, form)
             EngineOperation.Complete(request, output)
         }
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/faults/FaultRoutes.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/faults/FaultRoutes.kt
@@ -1,3 +1,4 @@
+/** The HTTP interface through which faults are set from another process. */
 package org.mulberrypin.standins.faults
 
 import com.linecorp.armeria.common.HttpResponse
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/load/CallEnding.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/load/CallEnding.kt
@@ -1,3 +1,4 @@
+/** How calls end, and what their attempts together say about whether the request ran. */
 package org.mulberrypin.standins.load
 
 import org.mulberrypin.standins.text.AnswerCheck
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/load/CallerReport.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/load/CallerReport.kt
@@ -1,3 +1,4 @@
+/** What the callers of a load run saw, and how it compares with what a plain service executed. */
 package org.mulberrypin.standins.load
 
 /**
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/load/LatencySummary.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/load/LatencySummary.kt
@@ -1,3 +1,4 @@
+/** Durations, counted in histograms and summarised as percentiles. */
 package org.mulberrypin.standins.load
 
 import org.HdrHistogram.Histogram
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/plainservice/PlainRequest.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/plainservice/PlainRequest.kt
@@ -1,3 +1,4 @@
+/** Requests to the plain service stand-in and the count of their executions. */
 package org.mulberrypin.standins.plainservice
 
 import kotlinx.collections.immutable.PersistentMap
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/platform/PlatformState.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/platform/PlatformState.kt
@@ -1,3 +1,4 @@
+/** What the platform stand-in keeps, and how lasting faults change it. */
 package org.mulberrypin.standins.platform
 
 import kotlinx.collections.immutable.PersistentList
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/platform/UsageState.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/platform/UsageState.kt
@@ -1,3 +1,4 @@
+/** Usage reports: the first one under a name is kept, and a later one must hold the same figures. */
 package org.mulberrypin.standins.platform
 
 import kotlinx.collections.immutable.PersistentMap
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/text/PromptText.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/text/PromptText.kt
@@ -1,3 +1,4 @@
+/** The prompt that a request amounts to, in the form that engine stand-ins and checks agree on. */
 package org.mulberrypin.standins.text
 
 import org.mulberrypin.schema.generated.ChatMessage
