--- a/command/src/main/kotlin/org/mulberrypin/command/ServeCommand.kt
+++ b/command/src/main/kotlin/org/mulberrypin/command/ServeCommand.kt
@@ -3,6 +3,7 @@
 import com.linecorp.armeria.client.ClientFactory
 import org.mulberrypin.platform.httpPlatform
 import org.mulberrypin.runtime.Outcome
+import org.mulberrypin.runtime.logs.applyLogSettings
 import org.mulberrypin.runtime.settings.SettingsOutcome
 import org.mulberrypin.runtime.settings.readEntrySettings
 import org.mulberrypin.schema.generated.EntrySettings
@@ -31,6 +32,7 @@
     settings: EntrySettings,
     console: Console,
 ): ExitCode {
+    applyLogSettings(settings.logs)
     // A graceful shutdown still calls backend servers and the platform, which the library's own hook would prevent.
     ClientFactory.disableShutdownHook()
     return when (val outcome = startEntryInstance(settings, httpPlatform(settings.platform))) {
