--- a/decisions/src/test/kotlin/org/mulberrypin/decisions/rollouts/FakeStepStore.kt
+++ b/decisions/src/test/kotlin/org/mulberrypin/decisions/rollouts/FakeStepStore.kt
@@ -15,6 +15,8 @@
     private val requests = mutableMapOf<String, StepRequest>()
     private val batches = mutableMapOf<String, Batch>()
     var writes = 0
+    var takeOvers = 0
+    var voided = 0
 
     fun readView(key: StepKey): StepView {
         val lease = leases[key]
@@ -32,6 +34,7 @@
             return StoreResult.CONFLICT to null
         }
         writes++
+        takeOvers += if (opening.newStep == null) 1 else 0
         leases.write(key, opening.lease.record)
         heartbeats.write(opening.heartbeat.holder, opening.heartbeat)
         trainer?.let { trainers.write(key.owner, it.record) }
@@ -53,6 +56,9 @@
             records.versionOf(write.key) == write.recordVersion
         if (holds) {
             writes++
+            voided += write.record.voided.size - records
+                .getValue(write.key)
+                .record.voided.size
             records.write(write.key, write.record)
         }
         return if (holds) StoreResult.COMMITTED else StoreResult.CONFLICT
--- a/decisions/src/test/kotlin/org/mulberrypin/decisions/rollouts/FakeTrainer.kt
+++ b/decisions/src/test/kotlin/org/mulberrypin/decisions/rollouts/FakeTrainer.kt
@@ -71,6 +71,7 @@
             val spans = sample.spans
             check(spans == spansOf(sample.sample)) { "Sample ${sample.sample} names $spans." }
             check(spans.sumOf { it.tokens } == sample.tokens) { "The spans of ${sample.sample} do not add up." }
+            check(sample.text.length.toLong() == sample.tokens) { "The text of ${sample.sample} is not whole." }
             check(
                 spans.all { it.weightVersion >= asked - request.stalenessBound },
             ) { "Sample ${sample.sample} is too old." }
--- /dev/null
+++ b/decisions/src/test/kotlin/org/mulberrypin/decisions/rollouts/OrdersTest.kt
@@ -0,0 +1,30 @@
+package org.mulberrypin.decisions.rollouts
+
+import org.junit.jupiter.api.DisplayName
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+
+@DisplayName("The order of groups and instances")
+class OrdersTest {
+    private val groups = listOf(
+        GroupCandidate("kerbrat/sorter", expectedTokens = 100, sequence = 0),
+        GroupCandidate("kerbrat/sorter", expectedTokens = 900, sequence = 1),
+        GroupCandidate("kartenhaus/sequencer", expectedTokens = 50, sequence = 2),
+    )
+
+    @Test
+    fun `starts the longest group of the trainer with the fewest samples under way`() {
+        expectThat(longestFirst(groups, mapOf("kartenhaus/sequencer" to 8))).isEqualTo(1)
+        expectThat(longestFirst(groups, mapOf("kerbrat/sorter" to 8))).isEqualTo(2)
+        expectThat(firstComeFirstServed(groups, mapOf("kerbrat/sorter" to 8))).isEqualTo(0)
+    }
+
+    @Test
+    fun `sends a long group to a fast instance and a short one to an idle instance`() {
+        val instances = listOf(InstanceCandidate(16, 20.0), InstanceCandidate(0, 60.0))
+        expectThat(earliestEnd(instances, 10_000, 1_000)).isEqualTo(0)
+        expectThat(earliestEnd(instances, 100, 1_000)).isEqualTo(1)
+        expectThat(fewestSamples(instances, 10_000, 1_000)).isEqualTo(1)
+    }
+}
--- a/decisions/src/test/kotlin/org/mulberrypin/decisions/rollouts/StepPropertiesTest.kt
+++ b/decisions/src/test/kotlin/org/mulberrypin/decisions/rollouts/StepPropertiesTest.kt
@@ -30,11 +30,18 @@
     @OptIn(ExperimentalKotest::class)
     @Test
     fun `comes whole, once, fresh and truthful through any failures`() {
+        var takeOvers = 0
+        var voided = 0
         runBlocking {
             checkAll(PropTestConfig(seed = 41, iterations = 400), Arb.long()) { seed ->
-                runStep(RolloutWorld(seed), failingActs = 1_500)
+                val world = RolloutWorld(seed)
+                runStep(world, failingActs = 1_500)
+                takeOvers += world.store.takeOvers
+                voided += world.store.voided
             }
         }
+        expectThat(takeOvers).isGreaterThan(400)
+        expectThat(voided).isGreaterThan(100)
     }
 
     @Test
