--- a/service/src/main/kotlin/org/mulberrypin/service/EntryParts.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/EntryParts.kt
@@ -1,6 +1,11 @@
 package org.mulberrypin.service
 
+import org.mulberrypin.runtime.Duty
+import org.mulberrypin.service.attempts.AttemptPart
 import org.mulberrypin.service.configuration.ConfigurationPart
+import org.mulberrypin.service.explanations.ExplanationPart
+import org.mulberrypin.service.membership.MembershipPart
+import org.mulberrypin.service.objectives.ObjectivePart
 import org.mulberrypin.service.requests.RequestPart
 import org.mulberrypin.service.rollouts.RolloutPart
 
@@ -9,4 +14,9 @@
     val requests: RequestPart,
     val configuration: ConfigurationPart,
     val rollouts: RolloutPart,
+    val membership: MembershipPart,
+    val attempts: AttemptPart,
+    val explanations: ExplanationPart,
+    val objectives: ObjectivePart,
+    val certaintyWatch: Duty,
 )
--- a/service/src/main/kotlin/org/mulberrypin/service/peers/PeerClient.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/peers/PeerClient.kt
@@ -3,6 +3,8 @@
 import org.mulberrypin.runtime.Outcome
 import org.mulberrypin.schema.generated.BatchAnswer
 import org.mulberrypin.schema.generated.BatchRequest
+import org.mulberrypin.schema.generated.BurnAnswer
+import org.mulberrypin.schema.generated.BurnQuestion
 import org.mulberrypin.schema.generated.CrashReport
 import org.mulberrypin.schema.generated.CrashReportAnswer
 import org.mulberrypin.schema.generated.ExplanationAnswer
@@ -25,6 +27,7 @@
     val explain: PeerCall<ExplanationQuestion, ExplanationAnswer>,
     val reportCrash: PeerCall<CrashReport, CrashReportAnswer>,
     val copyUsage: PeerCall<UsageCheckpoint, UsageCopyAnswer>,
+    val countEvents: PeerCall<BurnQuestion, BurnAnswer>,
 )
 
 /** Calls the peer at an address within a number of milliseconds and hands over the outcome. */
--- a/service/src/test/kotlin/org/mulberrypin/service/rollouts/RolloutPartTest.kt
+++ b/service/src/test/kotlin/org/mulberrypin/service/rollouts/RolloutPartTest.kt
@@ -192,6 +192,8 @@
                 nextBatch = callOf { it.handleNextBatch },
                 explain = { _, _, _, _ -> },
                 reportCrash = { _, _, _, _ -> },
+                copyUsage = { _, _, _, _ -> },
+                countEvents = { _, _, _, _ -> },
             ),
             metrics = SimpleMeterRegistry(),
             explain = {},
