Count, freeze and report usage, and keep it over deaths

Cause: no window may be reported twice with different figures or by two processes, and usage must outlive the instance. Ruled out: one row per window and instance (late writes need a ledger of their own); holding answers for a group commit (650 writes a second, or answers late by seconds); a checkpoint each second (650 writes a second).

--- /dev/null
+++ b/decisions/src/test/kotlin/org/mulberrypin/decisions/billing/BillingSimulation.kt
@@ -0,0 +1,344 @@
+package org.mulberrypin.decisions.billing
+
+import org.mulberrypin.decisions.leases.LeaseHold
+import org.mulberrypin.decisions.leases.covers
+import org.mulberrypin.schema.generated.UsageCheckpoint
+import org.mulberrypin.schema.generated.UsageProgress
+import org.mulberrypin.schema.generated.UsageTaken
+import org.mulberrypin.schema.generated.UsageWindow
+import kotlin.random.Random
+
+internal const val LEASE_ROW = "lease/usage"
+internal const val LONGEST_SEND = 2_000L
+
+internal val reportTerms = UsageReportTerms(
+    windowMilliseconds = 10_000,
+    settleMilliseconds = 4_000,
+    loadMilliseconds = 2_500,
+    lineLimit = 2,
+    longestSendMilliseconds = LONGEST_SEND,
+    clockRateBound = 0.01,
+)
+
+internal data class Sending(
+    val process: Int,
+    val checkedAt: Long,
+    val sentAt: Long,
+    val window: UsageWindow,
+)
+
+/** Three instances that count; the first may die, the others may pause; they report in turn. */
+internal class BillingSimulation(
+    val random: Random,
+) {
+    var now = 1_000_000L
+    var faults = true
+    val store = SimulatedRows()
+    val sendings = mutableListOf<Sending>()
+    val processes = (0..2).map { BillingProcess(it, incarnation = 1) }.toMutableList()
+    val dead = mutableListOf<BillingProcess>()
+    private val calls = mutableListOf<Pair<Long, () -> Unit>>()
+    private var holder = 0
+    private var fencing = 1L
+    private var deadline = now
+
+    fun step() {
+        now += random.nextLong(1, 300)
+        turnLease()
+        val due = calls.filter { it.first <= now }.sortedBy { it.first }
+        calls -= due.toSet()
+        due.forEach { it.second() }
+        if (faults && random.nextInt(40) == 0) restartFirst()
+        processes.filter { it.pausedUntil <= now }.forEach(::act)
+    }
+
+    private fun restartFirst() {
+        val killed = processes[0]
+        dead += killed
+        processes[0] = BillingProcess(0, killed.incarnation + 1)
+    }
+
+    private fun turnLease() {
+        val renewing =
+            processes[holder].leaseSince > 0 && processes[holder].pausedUntil <= now &&
+                (!faults || random.nextInt(60) > 0)
+        if (now < deadline && renewing) {
+            if (deadline - now > LEASE_MILLISECONDS / 2) return
+            deadline = now + LEASE_MILLISECONDS
+            store.put(LEASE_ROW, fencing)
+        } else if (now > deadline + 500) {
+            holder = random.nextInt(3)
+            fencing += 1
+            deadline = now + LEASE_MILLISECONDS
+            store.put(LEASE_ROW, fencing)
+            processes[holder].leaseSince = now
+        }
+    }
+
+    private fun leaseOf(process: BillingProcess): LeaseHold? =
+        LeaseHold(LEASE_ROW, fencing, deadline, process.leaseSince, store.version(LEASE_ROW))
+            .takeIf { processes.getOrNull(holder) === process && now < deadline && process.leaseSince > 0 }
+
+    private fun act(process: BillingProcess) {
+        if (faults && random.nextInt(50) == 0) process.pausedUntil = now + random.nextLong(12_000)
+        if (faults) repeat(random.nextInt(4)) { process.use(random, now) }
+        process.count(UsageCounterEvent.CopyDue, now).forEach { perform(process, it) }
+        if (random.nextInt(8) == 0) process.count(UsageCounterEvent.CheckpointDue, now).forEach { perform(process, it) }
+        process.keep(UsageCopiesEvent.Tick, now).forEach { perform(process, it) }
+        report(process, UsageReporterEvent.Tick(leaseOf(process), now))
+    }
+
+    /** Carries an action out some time later; it may fail before it has an effect, or its answer may be lost. */
+    private fun later(
+        process: BillingProcess,
+        action: () -> () -> Unit,
+        fail: () -> Unit,
+    ) {
+        val slow = faults && random.nextInt(8) == 0
+        val lost = faults && random.nextInt(8) == 0
+        val down = faults && random.nextInt(12) == 0
+        val delay = random.nextLong(1, if (slow) 8_000 else 150)
+        calls += now + delay to {
+            val answer = if (down) fail else action()
+            if (process in processes) {
+                if (lost) {
+                    fail()
+                } else {
+                    answer()
+                }
+            }
+        }
+    }
+
+    private fun perform(
+        process: BillingProcess,
+        effect: UsageCounterEffect,
+    ) {
+        when (effect) {
+            is UsageCounterEffect.CopyCheckpoint -> {
+                give(process, effect.checkpoint)
+            }
+
+            is UsageCounterEffect.WriteCheckpoint -> {
+                val answer = { event: UsageCounterEvent -> process.count(event, now).forEach { perform(process, it) } }
+                later(process, { write(effect).let { { answer(it) } } }) {
+                    answer(UsageCounterEvent.CheckpointFailed(effect.attempt))
+                }
+            }
+        }
+    }
+
+    private fun write(effect: UsageCounterEffect.WriteCheckpoint): UsageCounterEvent {
+        val key = "count/" + usageInstanceKey(effect.checkpoint)
+        val done = store.commit(mapOf(key to effect.expectedVersion), mapOf(key to effect.checkpoint))
+        return if (done) {
+            UsageCounterEvent.CheckpointWritten(effect.attempt)
+        } else {
+            UsageCounterEvent.CheckpointConflicted(effect.attempt, store.version(key))
+        }
+    }
+
+    private fun give(
+        process: BillingProcess,
+        checkpoint: UsageCheckpoint,
+    ) {
+        val peer = processes[if (process.number == 1) 2 else 1]
+        if (faults && random.nextInt(6) == 0) {
+            process.count(UsageCounterEvent.CopyFailed, now)
+        } else {
+            peer.keep(UsageCopiesEvent.Received(checkpoint), now)
+            if (peer.keeps(checkpoint)) process.safe = process.used
+        }
+    }
+
+    private fun perform(
+        process: BillingProcess,
+        effect: UsageCopiesEffect,
+    ) {
+        val action = {
+            val event = when (effect) {
+                is UsageCopiesEffect.ReadCheckpoint -> {
+                    val row = store.row<UsageCheckpoint>("count/${effect.key}")
+                    UsageCopiesEvent.CheckpointRead(effect.key, row ?: UsageRow(0, null))
+                }
+
+                is UsageCopiesEffect.WriteMerged -> {
+                    val key = "count/${effect.key}"
+                    val done = store.commit(mapOf(key to effect.expectedVersion), mapOf(key to effect.checkpoint))
+                    UsageCopiesEvent.Merged(effect.key, if (done) effect.checkpoint.sequence else 0)
+                }
+            }
+            val answer = { process.keep(event, now).forEach { perform(process, it) } }
+            answer
+        }
+        later(process, action) {}
+    }
+
+    private fun report(
+        process: BillingProcess,
+        event: UsageReporterEvent,
+    ) {
+        process.report(event, now).forEach { effect ->
+            when (effect) {
+                is UsageReporterEffect.Send -> {
+                    check(process, effect)
+                }
+
+                is UsageReporterEffect.Load, is UsageReporterEffect.Freeze, is UsageReporterEffect.Confirm -> {
+                    later(process, { carryOut(effect).let { { report(process, it) } } }) {
+                        report(process, failed(effect.attempt))
+                    }
+                }
+            }
+        }
+    }
+
+    private fun check(
+        process: BillingProcess,
+        effect: UsageReporterEffect.Send,
+    ) {
+        val hold = leaseOf(process)?.takeIf { it.fencingNumber == effect.fencingNumber }
+        if (hold == null || !hold.covers(now, LONGEST_SEND)) {
+            return report(process, UsageReporterEvent.Failed(effect.attempt))
+        }
+        val checkedAt = now
+        val pause = if (faults &&
+            random.nextInt(6) == 0
+        ) {
+            random.nextLong(20_000)
+        } else {
+            random.nextLong(LONGEST_SEND - 300)
+        }
+        calls += now + pause to {
+            if (process in processes) {
+                sendings += Sending(process.number, checkedAt, now, effect.window)
+                val lost = faults && random.nextInt(5) == 0
+                val event = if (lost) ::failed else ::done
+                report(process, event(effect.attempt))
+            }
+        }
+    }
+
+    private fun failed(attempt: Long): UsageReporterEvent = UsageReporterEvent.Failed(attempt)
+
+    private fun done(attempt: Long): UsageReporterEvent = UsageReporterEvent.Done(attempt)
+
+    private fun carryOut(effect: UsageReporterEffect): UsageReporterEvent =
+        when (effect) {
+            is UsageReporterEffect.Load -> UsageReporterEvent.Loaded(effect.attempt, store.ledger())
+            is UsageReporterEffect.Freeze -> result(effect.attempt, store.freeze(effect.freeze))
+            is UsageReporterEffect.Confirm -> result(effect.attempt, store.confirm(effect.report))
+            is UsageReporterEffect.Send -> error("Sent elsewhere.")
+        }
+
+    private fun result(
+        attempt: Long,
+        succeeded: Boolean,
+    ): UsageReporterEvent = if (succeeded) done(attempt) else failed(attempt)
+
+    private companion object {
+        const val LEASE_MILLISECONDS = 6_000L
+    }
+}
+
+/** One start of an instance. */
+internal class BillingProcess(
+    val number: Int,
+    val incarnation: Long,
+) {
+    var used = 0L
+    var safe = 0L
+    var pausedUntil = 0L
+    var leaseSince = 0L
+    private var events = 0
+    private var counter = usageCounterState(UsageTerms("instance-$number", incarnation, 10_000, listedWindows = 2))
+    private var copies = UsageCopiesState(quietMilliseconds = 3_000, limit = 8)
+    private var reporter = usageReporterState(reportTerms)
+
+    fun use(
+        random: Random,
+        now: Long,
+    ) {
+        val repeated = events > 0 && random.nextInt(10) == 0
+        if (!repeated) {
+            events += 1
+            used += 1
+        }
+        val route = "route-${random.nextInt(3)}"
+        count(UsageCounterEvent.Counted(UsageEvent("$number/$events", "team", route, 1, 10, 20), now), now)
+    }
+
+    fun count(
+        event: UsageCounterEvent,
+        now: Long,
+    ): List<UsageCounterEffect> = decideUsageCounter(counter, event, now).also { counter = it.state }.effects
+
+    fun keep(
+        event: UsageCopiesEvent,
+        now: Long,
+    ): List<UsageCopiesEffect> = decideUsageCopies(copies, event, now).also { copies = it.state }.effects
+
+    fun keeps(checkpoint: UsageCheckpoint): Boolean = usageInstanceKey(checkpoint) in copies.copies
+
+    fun report(
+        event: UsageReporterEvent,
+        now: Long,
+    ): List<UsageReporterEffect> = decideUsageReporter(reporter, event, now).also { reporter = it.state }.effects
+}
+
+/** Rows with versions, written under conditions. */
+internal class SimulatedRows {
+    private val rows = mutableMapOf<String, UsageRow<Any?>>()
+
+    fun version(key: String): Long = rows[key]?.takeIf { it.value != null }?.version ?: 0
+
+    fun put(
+        key: String,
+        value: Any?,
+    ) {
+        rows[key] = UsageRow((rows[key]?.version ?: 0) + 1, value)
+    }
+
+    fun commit(
+        conditions: Map<String, Long>,
+        writes: Map<String, Any?>,
+    ): Boolean {
+        val holds = conditions.all { (key, version) -> version(key) == version }
+        if (holds) writes.forEach(::put)
+        return holds
+    }
+
+    @Suppress("UNCHECKED_CAST")
+    fun <Value> row(key: String): UsageRow<Value>? = rows[key]?.takeIf { it.value != null } as UsageRow<Value>?
+
+    private fun <Value> rowsOf(prefix: String): Map<String, UsageRow<Value>> =
+        rows.keys
+            .filter { it.startsWith(prefix) }
+            .sorted()
+            .mapNotNull { key ->
+                row<Value>(key)?.let { key to it }
+            }.toMap()
+
+    fun ledger(): UsageLedger =
+        UsageLedger(
+            progress = row("progress") ?: UsageRow(0, UsageProgress()),
+            taken = rowsOf<UsageTaken>("taken/").mapKeys { it.key.removePrefix("taken/") },
+            checkpoints = rowsOf<UsageCheckpoint>("count/").values.map { it.value },
+            reports = rowsOf<UsageWindow>("report/").values.toList(),
+        )
+
+    fun freeze(freeze: UsageFreeze): Boolean =
+        commit(
+            mapOf(LEASE_ROW to freeze.lease.rowVersion, "progress" to freeze.progress.version) +
+                freeze.taken.map { "taken/${it.key}" to it.value.version } +
+                freeze.reports.map { "report/${it.name}" to 0L },
+            mapOf<String, Any?>("progress" to freeze.progress.value) +
+                freeze.taken.map { "taken/${it.key}" to it.value.value } +
+                freeze.reports.map { "report/${it.name}" to it },
+        )
+
+    fun confirm(report: UsageRow<UsageWindow>): Boolean {
+        val key = "report/${report.value.name}"
+        return commit(mapOf(key to report.version), mapOf(key to null))
+    }
+}
--- /dev/null
+++ b/service/src/main/kotlin/org/mulberrypin/service/billing/BillingReporter.kt
@@ -0,0 +1,122 @@
+package org.mulberrypin.service.billing
+
+import org.apache.logging.log4j.LogManager
+import org.mulberrypin.decisions.billing.UsageFreeze
+import org.mulberrypin.decisions.billing.UsageReporterEffect
+import org.mulberrypin.decisions.billing.UsageReporterEvent
+import org.mulberrypin.decisions.leases.LeaseHold
+import org.mulberrypin.decisions.leases.covers
+import org.mulberrypin.runtime.Outcome
+import org.mulberrypin.schema.generated.Explanation
+import org.mulberrypin.schema.generated.TableCommit
+import org.mulberrypin.schema.generated.TableWrite
+import org.mulberrypin.schema.generated.UsageProgress
+import org.mulberrypin.schema.generated.UsageTaken
+import org.mulberrypin.schema.generated.UsageWindow
+import org.mulberrypin.service.EntryContext
+
+/** Carries out the blocking steps of the reporter: reading, freezing, sending and confirming. */
+internal class BillingReporter(
+    private val context: EntryContext,
+    private val holding: (String) -> LeaseHold?,
+    private val answer: (BillingEvent) -> Unit,
+) {
+    private val tables = context.platform.tables
+    private val sendings = context.metrics.counter("mulberrypin.usage.sendings")
+    private val failures = context.metrics.counter("mulberrypin.usage.sending.failures")
+
+    fun carryOut(step: BillingReportStep) {
+        val event = when (val effect = step.effect) {
+            is UsageReporterEffect.Load -> load(effect)
+            is UsageReporterEffect.Freeze -> result(effect.attempt, commit(freezeCommit(effect.freeze)))
+            is UsageReporterEffect.Send -> result(effect.attempt, send(effect))
+            is UsageReporterEffect.Confirm -> result(effect.attempt, commit(confirmCommit(effect)))
+        }
+        answer(BillingEvent.ReporterAnswer(event))
+    }
+
+    private fun result(
+        attempt: Long,
+        succeeded: Boolean,
+    ): UsageReporterEvent =
+        if (succeeded) UsageReporterEvent.Done(attempt) else UsageReporterEvent.Failed(attempt)
+
+    private fun load(effect: UsageReporterEffect.Load): UsageReporterEvent =
+        when (val ledger = readLedger(tables)) {
+            is Outcome.Success -> {
+                UsageReporterEvent.Loaded(effect.attempt, ledger.value)
+            }
+
+            is Outcome.Failure -> {
+                logger.warn("Cannot read usage: {}.", ledger.fault)
+                UsageReporterEvent.Failed(effect.attempt)
+            }
+        }
+
+    private fun commit(commit: TableCommit): Boolean {
+        val outcome = tables.commit(commit)
+        return outcome is Outcome.Success && outcome.value.committed
+    }
+
+    /** Nothing stands between the check of the lease and the call. */
+    private fun send(effect: UsageReporterEffect.Send): Boolean {
+        val hold = holding(USAGE_LEASE)?.takeIf { it.fencingNumber == effect.fencingNumber } ?: return false
+        if (!hold.covers(context.clock.readMilliseconds(), longestSendMilliseconds(context.settings))) return false
+        val outcome = context.platform.usage.send(effect.window)
+        sendings.increment()
+        val reason = when (outcome) {
+            is Outcome.Success -> if (outcome.value.accepted) "Accepted." else "Refused: ${outcome.value.reason}"
+            is Outcome.Failure -> "No answer: ${outcome.fault}"
+        }
+        val accepted = outcome is Outcome.Success && outcome.value.accepted
+        if (!accepted) failures.increment()
+        explain(effect.window, reason)
+        return accepted
+    }
+
+    private fun explain(
+        window: UsageWindow,
+        reason: String,
+    ) {
+        logger.info("Report {}: {}", window.name, reason)
+        context.explain(
+            Explanation(
+                wallMilliseconds = context.clock.readWallMilliseconds(),
+                instance = context.settings.instance.name,
+                subject = "report",
+                name = window.name,
+                step = "send usage",
+                peer = context.settings.platform.usageAddress,
+                reason = reason,
+            ),
+        )
+    }
+
+    private companion object {
+        private val logger = LogManager.getLogger("billing")
+    }
+}
+
+private fun freezeCommit(freeze: UsageFreeze): TableCommit {
+    val conditions = listOf(
+        usageCondition(freeze.lease.name, freeze.lease.rowVersion),
+        usageCondition(PROGRESS_KEY, freeze.progress.version),
+    )
+    val progress = usageWrite(PROGRESS_KEY, freeze.progress.value, UsageProgress.serializer())
+    return TableCommit(
+        conditions = conditions +
+            freeze.taken.map { (key, row) -> usageCondition(TAKEN_PREFIX + key, row.version) } +
+            freeze.reports.map { usageCondition(REPORT_PREFIX + it.name, 0) },
+        writes = listOf(progress) +
+            freeze.taken.map { (key, row) -> usageWrite(TAKEN_PREFIX + key, row.value, UsageTaken.serializer()) } +
+            freeze.reports.map { usageWrite(REPORT_PREFIX + it.name, it, UsageWindow.serializer()) },
+    )
+}
+
+private fun confirmCommit(effect: UsageReporterEffect.Confirm): TableCommit {
+    val key = REPORT_PREFIX + effect.report.value.name
+    return TableCommit(
+        conditions = listOf(usageCondition(key, effect.report.version)),
+        writes = listOf(TableWrite(key = key, delete = true)),
+    )
+}
--- /dev/null
+++ b/service/src/main/kotlin/org/mulberrypin/service/billing/TakeCopy.kt
@@ -0,0 +1,18 @@
+package org.mulberrypin.service.billing
+
+import org.mulberrypin.runtime.BoundedRing
+import org.mulberrypin.runtime.Fault
+import org.mulberrypin.runtime.FaultKind
+import org.mulberrypin.runtime.Outcome
+import org.mulberrypin.service.EntryContext
+
+/** Offers a peer's copy to the duty; a full ring tells the peer to ask another instance. */
+internal fun takeCopy(
+    context: EntryContext,
+    events: BoundedRing<BillingEvent>,
+    received: BillingEvent.CopyReceived,
+) {
+    if (events.offer(received)) return
+    val fault = Fault("copy usage", context.settings.instance.name, FaultKind.NOT_RUN, "The ring for billing is full.")
+    received.onOutcome(Outcome.Failure(fault))
+}
