--- a/service/src/main/kotlin/org/mulberrypin/service/peers/PeerClient.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/peers/PeerClient.kt
@@ -3,12 +3,16 @@
 import org.mulberrypin.runtime.Outcome
 import org.mulberrypin.schema.generated.BatchAnswer
 import org.mulberrypin.schema.generated.BatchRequest
+import org.mulberrypin.schema.generated.BurnAnswer
+import org.mulberrypin.schema.generated.BurnQuestion
 import org.mulberrypin.schema.generated.CrashReport
 import org.mulberrypin.schema.generated.CrashReportAnswer
 import org.mulberrypin.schema.generated.ExplanationAnswer
 import org.mulberrypin.schema.generated.ExplanationQuestion
 import org.mulberrypin.schema.generated.GroupAssignment
 import org.mulberrypin.schema.generated.GroupResult
+import org.mulberrypin.schema.generated.UsageCheckpoint
+import org.mulberrypin.schema.generated.UsageCopyAnswer
 import org.mulberrypin.schema.generated.VersionAnnouncement
 import org.mulberrypin.schema.generated.VersionConfirmation
 
@@ -22,6 +26,8 @@
     val nextBatch: PeerCall<BatchRequest, BatchAnswer>,
     val explain: PeerCall<ExplanationQuestion, ExplanationAnswer>,
     val reportCrash: PeerCall<CrashReport, CrashReportAnswer>,
+    val copyUsage: PeerCall<UsageCheckpoint, UsageCopyAnswer>,
+    val countEvents: PeerCall<BurnQuestion, BurnAnswer>,
 )
 
 /** Calls the peer at an address within a number of milliseconds and hands over the outcome. */
--- a/service/src/main/kotlin/org/mulberrypin/service/peers/PeerHandlers.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/peers/PeerHandlers.kt
@@ -3,12 +3,16 @@
 import org.mulberrypin.runtime.Outcome
 import org.mulberrypin.schema.generated.BatchAnswer
 import org.mulberrypin.schema.generated.BatchRequest
+import org.mulberrypin.schema.generated.BurnAnswer
+import org.mulberrypin.schema.generated.BurnQuestion
 import org.mulberrypin.schema.generated.CrashReport
 import org.mulberrypin.schema.generated.CrashReportAnswer
 import org.mulberrypin.schema.generated.ExplanationAnswer
 import org.mulberrypin.schema.generated.ExplanationQuestion
 import org.mulberrypin.schema.generated.GroupAssignment
 import org.mulberrypin.schema.generated.GroupResult
+import org.mulberrypin.schema.generated.UsageCheckpoint
+import org.mulberrypin.schema.generated.UsageCopyAnswer
 import org.mulberrypin.schema.generated.VersionAnnouncement
 import org.mulberrypin.schema.generated.VersionConfirmation
 
@@ -22,6 +26,8 @@
     val nextBatch: PeerHandler<BatchRequest, BatchAnswer>,
     val explain: PeerHandler<ExplanationQuestion, ExplanationAnswer>,
     val reportCrash: PeerHandler<CrashReport, CrashReportAnswer>,
+    val copyUsage: PeerHandler<UsageCheckpoint, UsageCopyAnswer>,
+    val countEvents: PeerHandler<BurnQuestion, BurnAnswer>,
 )
 
 /** Handles a request of a peer and hands over the outcome. */
