--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/configuration/Announcements.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/configuration/Announcements.kt
@@ -197,12 +197,13 @@
 ): ConfigurationEffect.Announce {
     val fanout = state.fanouts.getValue(number)
     val delegation = fanout.pending.getValue(index)
-    val leftMilliseconds = (fanout.endMilliseconds - nowMilliseconds).coerceAtLeast(1)
+    val leftMilliseconds = fanout.endMilliseconds - nowMilliseconds
+    val callMilliseconds = (leftMilliseconds * CALL_PERCENT / PERCENT).coerceAtLeast(1)
     return ConfigurationEffect.Announce(
         fanout = number,
         delegation = index,
         address = delegation.candidates.first().address,
-        timeoutMilliseconds = leftMilliseconds,
+        timeoutMilliseconds = callMilliseconds,
         announcement = VersionAnnouncement(
             instance = state.instance,
             incarnation = state.incarnation,
@@ -210,11 +211,16 @@
             patches = fanout.patches,
             rangeFrom = delegation.range.from,
             rangeTo = delegation.range.to,
-            timeoutMilliseconds = leftMilliseconds * TIMEOUT_PART_NUMERATOR / TIMEOUT_PART_DENOMINATOR,
+            timeoutMilliseconds = callMilliseconds * PASSED_ON_PERCENT / PERCENT,
         ),
     )
 }
 
 private const val ANSWERED_PATCHES = 4
-private const val TIMEOUT_PART_NUMERATOR = 7
-private const val TIMEOUT_PART_DENOMINATOR = 10
+private const val PERCENT = 100
+
+/** Part of the time left that a candidate gets, so that there is time for another one after it. */
+private const val CALL_PERCENT = 75
+
+/** Part of that time that the candidate may take for its own calls. */
+private const val PASSED_ON_PERCENT = 85
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/configuration/ConfigurationTick.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/configuration/ConfigurationTick.kt
@@ -78,7 +78,7 @@
 ): Long = state.certainty.freshMilliseconds?.let { nowMilliseconds - it } ?: Long.MAX_VALUE
 
 /** How long the root of a tree awaits answers. */
-internal const val FANOUT_TIMEOUT_MILLISECONDS: Long = 1_500
+internal const val FANOUT_TIMEOUT_MILLISECONDS: Long = 3_000
 
 private const val QUESTION_PART = 0.3
 private const val QUESTION_LIMIT = 2
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/membership/BackendServerSubset.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/membership/BackendServerSubset.kt
@@ -2,7 +2,7 @@
  * Chooses the backend servers that an instance looks after. The instances of a region share the backend servers of the
  * region, pool by pool: each backend server goes to a number of instances by rendezvous hashing with bounded load. All
  * instances come to the same result from the same list; while their lists differ, only the choices that the difference
- * touches do.
+ * touches do. Backend servers in a failure domain without live instances are shared out among all instances.
  */
 package org.mulberrypin.decisions.membership
 
@@ -24,7 +24,7 @@
     return pools.flatMapTo(HashSet()) { pool ->
         val (known, orphaned) = pool.backendServers.partition { it.failureDomain in knownDomains }
         val local = known.filter { it.failureDomain in domains }
-        val own = cover(instance, neighbours, local, least) + cover(instance, live, orphaned, least)
+        val own = cover(instance, neighbours, local, least) + cover(instance, live, orphaned, least = 0)
         own.ifEmpty { chooseRemote(instance, pool.backendServers, least) }
     }
 }
