--- a/service/src/main/kotlin/org/mulberrypin/service/EntryShutdown.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/EntryShutdown.kt
@@ -11,13 +11,12 @@
     private val context: EntryContext,
     private val parts: EntryParts,
     private val readiness: Readiness,
-    private val watch: InstanceWatch,
     private val servers: List<Server>,
 ) {
     fun drainAndStop() {
         logger.info("Shutting down: finishing what is under way.")
         readiness.set(false)
-        watch.leave()
+        parts.membership.leave()
         pause(NOTICE_MILLISECONDS)
         parts.requests.drain()
         parts.rollouts.drain()
@@ -27,10 +26,14 @@
 
     fun stop() {
         servers.forEach { it.stop().join() }
-        watch.stop()
+        parts.membership.stop()
+        parts.certaintyWatch.stop(NOTICE_MILLISECONDS)
         parts.rollouts.stop()
         parts.requests.stop()
         parts.configuration.stop()
+        parts.attempts.stop()
+        parts.objectives.stop()
+        parts.explanations.stop()
         logger.info("Stopped.")
     }
 
@@ -40,7 +43,8 @@
         while (isBusy() && context.clock.readMilliseconds() < deadlineMilliseconds) pause(CHECK_MILLISECONDS)
     }
 
-    private fun isBusy(): Boolean = parts.requests.inFlight() > 0 || parts.rollouts.inFlight() > 0
+    private fun isBusy(): Boolean =
+        parts.requests.inFlight() > 0 || parts.rollouts.inFlight() > 0 || parts.attempts.waiting() > 0
 
     private fun pause(milliseconds: Long) = Thread.sleep(milliseconds)
 
--- a/service/src/main/kotlin/org/mulberrypin/service/PeerListener.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/PeerListener.kt
@@ -5,7 +5,6 @@
 import org.mulberrypin.runtime.Outcome
 import org.mulberrypin.schema.generated.CrashReport
 import org.mulberrypin.schema.generated.CrashReportAnswer
-import org.mulberrypin.schema.generated.ExplanationAnswer
 import org.mulberrypin.schema.generated.UsageCopyAnswer
 import org.mulberrypin.service.peers.PeerHandlers
 import org.mulberrypin.service.peers.peerService
@@ -21,9 +20,10 @@
             announce = parts.configuration.handleAnnounce,
             runGroup = parts.rollouts.handleRunGroup,
             nextBatch = parts.rollouts.handleNextBatch,
-            explain = { _, onOutcome -> onOutcome(Outcome.Success(ExplanationAnswer())) },
+            explain = parts.explanations.handlePeer,
             reportCrash = { report, onOutcome -> onOutcome(noteCrash(parts, report)) },
             copyUsage = { _, onOutcome -> onOutcome(Outcome.Success(UsageCopyAnswer())) },
+            countEvents = parts.objectives.handlePeer,
         )
     val instance = context.settings.instance
     return Server
