--- a/command/src/test/kotlin/org/mulberrypin/command/processes/ProgramProcess.kt
+++ b/command/src/test/kotlin/org/mulberrypin/command/processes/ProgramProcess.kt
@@ -1,6 +1,7 @@
 package org.mulberrypin.command.processes
 
 import java.io.File
+import java.io.IOException
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 
@@ -41,15 +42,23 @@
             val process = ProcessBuilder(commandLine(arguments.toList())).redirectErrorStream(true).start()
             val address = CompletableFuture<String>()
             val reader =
-                Thread {
-                    val lines = process.inputReader().lineSequence()
-                    lines.forEach { line -> if (READY_MARK in line) address.complete(line.substringAfter(READY_MARK)) }
-                }
+                Thread { readOutput(process, address) }
             reader.isDaemon = true
             reader.start()
             return ProgramProcess(process, address.get(READY_SECONDS, TimeUnit.SECONDS))
         }
 
+        private fun readOutput(
+            process: Process,
+            address: CompletableFuture<String>,
+        ) = try {
+            val lines = process.inputReader().lineSequence()
+            lines.forEach { line -> if (READY_MARK in line) address.complete(line.substringAfter(READY_MARK)) }
+        } catch (_: IOException) {
+            address.completeExceptionally(IllegalStateException("The process was ended."))
+            Unit
+        }
+
         private fun commandLine(arguments: List<String>): List<String> {
             val java = File(System.getProperty("java.home"), "bin/java").path
             val classPath = System.getProperty("java.class.path")
--- a/decisions/src/test/kotlin/org/mulberrypin/decisions/requests/RequestHistory.kt
+++ b/decisions/src/test/kotlin/org/mulberrypin/decisions/requests/RequestHistory.kt
@@ -12,6 +12,7 @@
     val left = HashSet<Long>()
     val notRepeatable = HashSet<Long>()
     val ran = HashMap<Long, Int>()
+    val endedProperly = HashSet<Long>()
     val finalReplies = HashMap<Long, RequestReply>()
     val finalReplyCounts = HashMap<Long, Int>()
 
@@ -93,6 +94,7 @@
         val attempt = running.values.randomOrNull(random) ?: return
         start(attempt)
         running.remove(attempt.dispatch.request)
+        endedProperly.add(attempt.dispatch.request)
         apply(RequestEvent.AttemptFinished(attempt.dispatch.request, attempt.dispatch.attempt, "stop", 10))
     }
 
--- a/decisions/src/test/kotlin/org/mulberrypin/decisions/requests/RequestTruthTest.kt
+++ b/decisions/src/test/kotlin/org/mulberrypin/decisions/requests/RequestTruthTest.kt
@@ -54,6 +54,13 @@
             }
         }
 
+    @Test
+    fun `an answer is whole only if its own attempt ended properly`() =
+        forRandomHistories { history ->
+            val whole = history.finalReplies.filterValues { it is RequestReply.Finished }.keys
+            expectThat(whole - history.endedProperly).isEmpty()
+        }
+
     @Test
     fun `counts of running requests return to zero`() =
         forRandomHistories { history ->
--- a/service/src/main/kotlin/org/mulberrypin/service/EntryShutdown.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/EntryShutdown.kt
@@ -21,6 +21,8 @@
         parts.requests.drain()
         parts.rollouts.drain()
         awaitIdle()
+        parts.billing.drain()
+        parts.leases.release()
         stop()
     }
 
@@ -30,6 +32,9 @@
         parts.certaintyWatch.stop(NOTICE_MILLISECONDS)
         parts.rollouts.stop()
         parts.requests.stop()
+        parts.supply.stop()
+        parts.billing.stop()
+        parts.leases.stop()
         parts.configuration.stop()
         parts.attempts.stop()
         parts.objectives.stop()
--- a/service/src/main/kotlin/org/mulberrypin/service/PeerListener.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/PeerListener.kt
@@ -5,7 +5,6 @@
 import org.mulberrypin.runtime.Outcome
 import org.mulberrypin.schema.generated.CrashReport
 import org.mulberrypin.schema.generated.CrashReportAnswer
-import org.mulberrypin.schema.generated.UsageCopyAnswer
 import org.mulberrypin.service.peers.PeerHandlers
 import org.mulberrypin.service.peers.peerService
 import java.net.InetSocketAddress
@@ -22,7 +21,7 @@
             nextBatch = parts.rollouts.handleNextBatch,
             explain = parts.explanations.handlePeer,
             reportCrash = { report, onOutcome -> onOutcome(noteCrash(parts, report)) },
-            copyUsage = { _, onOutcome -> onOutcome(Outcome.Success(UsageCopyAnswer())) },
+            copyUsage = parts.billing.copyUsage,
             countEvents = parts.objectives.handlePeer,
         )
     val instance = context.settings.instance
--- a/service/src/main/kotlin/org/mulberrypin/service/StartParts.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/StartParts.kt
@@ -1,6 +1,7 @@
 /** Starts the parts of an entry instance in the order in which they need each other. */
 package org.mulberrypin.service
 
+import org.mulberrypin.decisions.billing.UsageEvent
 import org.mulberrypin.decisions.objectives.ObjectiveEvent
 import org.mulberrypin.decisions.requests.RequestEffect
 import org.mulberrypin.runtime.Duty
@@ -10,9 +11,13 @@
 import org.mulberrypin.schema.generated.CrashReport
 import org.mulberrypin.schema.generated.InstanceEntry
 import org.mulberrypin.service.attempts.startAttemptPart
+import org.mulberrypin.service.billing.BillingPart
+import org.mulberrypin.service.billing.USAGE_LEASE
+import org.mulberrypin.service.billing.startBillingPart
 import org.mulberrypin.service.configuration.ConfigurationPart
 import org.mulberrypin.service.configuration.startConfigurationPart
 import org.mulberrypin.service.explanations.ExplanationPart
+import org.mulberrypin.service.leases.startLeasePart
 import org.mulberrypin.service.membership.startMembershipPart
 import org.mulberrypin.service.objectives.ObjectivePart
 import org.mulberrypin.service.objectives.startObjectivePart
@@ -21,6 +26,8 @@
 import org.mulberrypin.service.requests.startRequestPart
 import org.mulberrypin.service.rollouts.RolloutPart
 import org.mulberrypin.service.rollouts.startRolloutPart
+import org.mulberrypin.service.supply.orderLease
+import org.mulberrypin.service.supply.startSupplyPart
 import java.util.concurrent.atomic.AtomicReference
 
 internal fun startParts(
@@ -29,12 +36,16 @@
 ): EntryParts {
     val peers = AtomicReference(emptyList<InstanceEntry>())
     val objectives = startObjectivePart(context.settings.instance.name, context.clock, context.peers.countEvents)
-    val requests = startRequestPart(context, requestOutlets(context, objectives, peers::get))
+    val leases = startLeasePart(context, listOf(USAGE_LEASE, orderLease(context.settings.instance.region)))
+    val billing = startBillingPart(context, leases, context.peers.copyUsage)
+    val supply = startSupplyPart(context, leases, context.settings.instance.region)
+    val requests = startRequestPart(context, requestOutlets(context, objectives, billing, peers::get))
     val rollouts = AtomicReference<RolloutPart>()
     val configuration =
         startConfigurationPart(context) { next: Configuration ->
             requests.configurationChanged(next)
             objectives.configurationChanged(next)
+            supply.configurationChanged(next)
             rollouts.get()?.configurationChanged?.invoke(next)
         }
     rollouts.set(startRolloutPart(context, requests, configuration.authenticate))
@@ -47,6 +58,7 @@
             rollouts.get().peersChanged(instances)
             explanations.peersChanged(instances)
             objectives.peersChanged(instances)
+            billing.peersChanged(instances)
         }
     return EntryParts(
         requests = requests,
@@ -56,6 +68,9 @@
         attempts = startAttemptPart(context),
         explanations = explanations,
         objectives = objectives,
+        leases = leases,
+        billing = billing,
+        supply = supply,
         certaintyWatch = startCertaintyWatch(context, configuration, requests),
     )
 }
@@ -63,15 +78,29 @@
 private fun requestOutlets(
     context: EntryContext,
     objectives: ObjectivePart,
+    billing: BillingPart,
     peers: () -> List<InstanceEntry>,
 ): RequestOutlets =
     RequestOutlets(
-        recordUsage = { true },
+        recordUsage = { billing.record(usageEvent(context, it)) },
         recordObjective = { objectives.record(ObjectiveEvent(it.team, it.route, it.good)) },
         reportCrash = { reportCrash(context, it, peers()) },
         explain = context.explain,
     )
 
+private fun usageEvent(
+    context: EntryContext,
+    usage: RequestEffect.RecordUsage,
+): UsageEvent =
+    UsageEvent(
+        name = "${context.incarnation}-${usage.request}",
+        team = usage.team,
+        route = usage.route,
+        requests = 1,
+        promptTokens = usage.promptTokens,
+        generatedTokens = usage.generatedTokens,
+    )
+
 /** Tells all peers about a crash; crashes are rare, so that the number of messages stays small. */
 private fun reportCrash(
     context: EntryContext,
