--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/StandInDuty.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/StandInDuty.kt
@@ -53,8 +53,9 @@
     clock: ServiceClock,
     tickMilliseconds: Long,
     work: StandInWork<Operation>,
+    ringCapacity: Int = RING_CAPACITY,
 ): StandInDuty<Operation> {
-    val ring = boundedRing<() -> Unit>(name, RING_CAPACITY)
+    val ring = boundedRing<() -> Unit>(name, ringCapacity)
     val front = StandInFront(ring, work)
     val duty = startDuty(name, ring, clock, tickMilliseconds, handleEvent = { it() }, handleTick = work.tick)
     return StandInDuty(
