--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/load/CallerReport.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/load/CallerReport.kt
@@ -37,14 +37,10 @@
     val uncounted: Long,
 )
 
-/** Number of [writes] that were executed more than once, by the [executions] of a plain service. */
-public fun doubledWrites(
-    writes: Set<String>,
-    executions: Map<String, Int>,
-): Int = writes.count { executions.getOrDefault(it, 0) > 1 }
+/** Number of writes that were executed more than once, by the [executions] of a plain service. */
+public fun CallerReport.doubledWrites(executions: Map<String, Int>): Int =
+    writes.count { executions.getOrDefault(it, 0) > 1 }
 
-/** Number of [writesNotRun] that were executed all the same, by the [executions] of a plain service. */
-public fun falselyNotRun(
-    writesNotRun: Set<String>,
-    executions: Map<String, Int>,
-): Int = writesNotRun.count { executions.getOrDefault(it, 0) > 0 }
+/** Number of writes that were executed although every attempt was said not to have run. */
+public fun CallerReport.falselyNotRun(executions: Map<String, Int>): Int =
+    writesNotRun.count { executions.getOrDefault(it, 0) > 0 }
--- a/stand-ins/src/test/kotlin/org/mulberrypin/standins/load/RunCallersTest.kt
+++ b/stand-ins/src/test/kotlin/org/mulberrypin/standins/load/RunCallersTest.kt
@@ -60,7 +60,7 @@
         val report = runCallers(writes.copy(callers = 1))
         expectThat(report.whole).isEqualTo(4)
         expectThat(report.lost).isEqualTo(1)
-        expectThat(doubledWrites(report.writes, service.executions())).isEqualTo(1)
+        expectThat(report.doubledWrites(service.executions())).isEqualTo(1)
         expectThat(service.executions().getValue("load-1-0-0")).isEqualTo(1)
     }
 
@@ -69,7 +69,7 @@
         service.faults.set(StandInFaults(refuse = 20))
         val report = runCallers(writes.copy(callers = 1))
         expectThat(report.refused).isEqualTo(mapOf("not_run" to 5L))
-        expectThat(falselyNotRun(report.writesNotRun, service.executions())).isEqualTo(0)
-        expectThat(falselyNotRun(report.writesNotRun, mapOf("load-1-0-3" to 1))).isEqualTo(1)
+        expectThat(report.falselyNotRun(service.executions())).isEqualTo(0)
+        expectThat(report.falselyNotRun(mapOf("load-1-0-3" to 1))).isEqualTo(1)
     }
 }
