Check the kind of each settings fault in the property test

Cause: the test compared places only, and a whole number was broken by a fraction, so the range of whole numbers was not exercised.

--- a/runtime/src/test/kotlin/org/mulberrypin/runtime/settings/SettingsFileTest.kt
+++ b/runtime/src/test/kotlin/org/mulberrypin/runtime/settings/SettingsFileTest.kt
@@ -21,7 +21,6 @@
 import strikt.assertions.containsExactly
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
-import strikt.assertions.map
 import java.nio.file.Path
 import kotlin.io.path.writeLines
 import kotlin.random.Random
@@ -62,11 +61,11 @@
                 val line = lines.indexOf("[${broken.section}]").let { header ->
                     lines.drop(header).indexOfFirst { it.startsWith("${broken.key} =") } + header + 1
                 }
+                val place = SettingsPlace(file.toString(), line, broken.section, broken.key)
                 expectThat(read(lines))
                     .isA<SettingsOutcome.Faulty>()
-                    .get { faults }
-                    .map(SettingsFault::place)
-                    .containsExactly(SettingsPlace(file.toString(), line, broken.section, broken.key))
+                    .get { faults.map { it.kind to it.place } }
+                    .containsExactly(faultKindOf(fieldOf(broken)) to place)
             }
         }
     }
@@ -136,7 +135,15 @@
         when {
             field.unit == "host:port" -> "10.0.0.1:65536"
             field.kind == SettingsFieldKind.TEXT -> "other"
-            else -> "${field.maximum.toDouble() + 1}"
+            field.kind == SettingsFieldKind.FRACTION -> "${field.maximum.toDouble() + 1}"
+            else -> "${field.maximum.toLong() + 1}"
+        }
+
+    private fun faultKindOf(field: SettingsField): SettingsFaultKind =
+        when {
+            field.unit == "host:port" -> SettingsFaultKind.WRONG_ADDRESS
+            field.kind == SettingsFieldKind.TEXT -> SettingsFaultKind.UNKNOWN_WORD
+            else -> SettingsFaultKind.OUTSIDE_RANGE
         }
 
     private val breakableKeys: List<SettingsKey> =
