Rollouts: take no reading from before a call for one after it; keep to the newest key after a take-over

Cause: a lease reading under way from a heartbeat could have vouched for a frozen batch that another holder had voided since; the readings carry the number of the call they are for. A step taken over by an opening call kept the key name of its first call.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepAnswers.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepAnswers.kt
@@ -29,4 +29,4 @@
     BatchAnswer(batch = frozenBatch?.copy(trainerVersion = trainerVersion), voided = record.record.voided)
 
 private fun StepRecord.describeAbandoned(): String =
-    abandoned.joinToString(separator = " ") { "Group number ${it.group + 1} was abandoned: ${it.reason}." }
+    abandoned.joinToString(separator = " ") { "Group number ${it.group + 1} was abandoned: ${it.reason.trimEnd('.')}." }
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepOpenings.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepOpenings.kt
@@ -72,7 +72,7 @@
         lease = StepLease(opening.lease.version + 1, opening.lease.record.fencingNumber),
         record = Versioned(if (opening.newStep == null) opening.record.version else 1, record),
         pace = VersionPace(request.trainerVersion, nowMilliseconds),
-        keyName = request.keyName,
+        keyName = lookup.asks.map { it.keyName }.lastOrNull { it.isNotEmpty() } ?: request.keyName,
         waiting = waitingGroups(request.groups.size, record),
         abandoned = record.abandoned.associate { it.group to it.reason }.toPersistentMap(),
         frozenBatch = opened.frozenBatch,
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepResults.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/StepResults.kt
@@ -175,6 +175,6 @@
     event: StepEvent.GroupEnded,
     attempt: GroupAttempt,
 ): StepEffect {
-    val reason = "Attempt ${event.attempt} failed: ${describe(event.result)}."
+    val reason = "Attempt ${event.attempt} failed: ${describe(event.result).trimEnd('.')}."
     return StepEffect.Explain(event.key, event.group, attempt.instance, reason)
 }
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/TrainerAsk.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/rollouts/TrainerAsk.kt
@@ -11,6 +11,9 @@
     /** The step that the call is about. */
     public val key: StepKey
 
+    /** Name of the key under which the trainer calls. */
+    public val keyName: String
+
     /** Asks for a step to be started or continued. */
     public data class Open(
         override val ask: Long,
@@ -18,6 +21,9 @@
     ) : TrainerAsk {
         override val key: StepKey
             get() = StepKey(request.team, request.trainer, request.step)
+
+        override val keyName: String
+            get() = request.keyName
     }
 
     /**
@@ -32,5 +38,8 @@
     ) : TrainerAsk {
         override val key: StepKey
             get() = StepKey(request.team, request.trainer, request.step)
+
+        override val keyName: String
+            get() = request.keyName
     }
 }
--- a/decisions/src/test/kotlin/org/mulberrypin/decisions/rollouts/TwoHoldersTest.kt
+++ b/decisions/src/test/kotlin/org/mulberrypin/decisions/rollouts/TwoHoldersTest.kt
@@ -25,6 +25,8 @@
     val answers = mutableListOf<BatchAnswer>()
     val heldBack = mutableListOf<StepEffect.Write>()
     var pausesBeforeWrites = false
+    var pausesAfterReads = false
+    private val heldReads = ArrayDeque<StepEvent>()
     var state = StepState()
     private var now = 0L
 
@@ -48,6 +50,8 @@
         handle(StepEvent.Tick)
     }
 
+    fun takeOldestRead() = handle(heldReads.removeFirst())
+
     fun wake() {
         val writes = heldBack.toList().also { heldBack.clear() }
         writes.forEach { handle(StepEvent.WriteEnded(it.write, store.write(it.write))) }
@@ -67,7 +71,10 @@
             }
 
             is StepEffect.ReadView -> {
-                handle(StepEvent.ViewRead(effect.key, store.readView(effect.key), effect.ask))
+                heldReads += StepEvent.ViewRead(effect.key, store.readView(effect.key), effect.ask)
+                if (!pausesAfterReads) {
+                    takeOldestRead()
+                }
             }
 
             is StepEffect.Open -> {
@@ -162,4 +169,19 @@
         expectThat(second.ask(0, version = 7).voided).isEqualTo(listOf(1L))
         expectThat(first.ask(0).batch).isEqualTo(null)
     }
+
+    @Test
+    fun `take no reading from before a call for one after it`() {
+        first.ask(0)
+        first.pausesAfterReads = true
+        first.waitForLease()
+        takeOver()
+        second.ask(0, version = 7)
+        first.ask(0)
+        val answered = first.answers.size
+        first.takeOldestRead()
+        expectThat(first.answers.size).isEqualTo(answered)
+        first.takeOldestRead()
+        expectThat(first.answers.last()).isEqualTo(askAgain)
+    }
 }
