--- a/service/src/main/kotlin/org/mulberrypin/service/StartParts.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/StartParts.kt
@@ -36,9 +36,9 @@
 ): EntryParts {
     val peers = AtomicReference(emptyList<InstanceEntry>())
     val objectives = startObjectivePart(context.settings.instance.name, context.clock, context.peers.countEvents)
-    val leases = startLeasePart(context, listOf(USAGE_LEASE, orderLease(context.settings.instance.region)))
+    val leases = startLeasePart(context, listOf(USAGE_LEASE, orderLease(ORDER_SHARD)))
     val billing = startBillingPart(context, leases, context.peers.copyUsage)
-    val supply = startSupplyPart(context, leases, context.settings.instance.region)
+    val supply = startSupplyPart(context, leases, ORDER_SHARD)
     val requests = startRequestPart(context, requestOutlets(context, objectives, billing, peers::get))
     val rollouts = AtomicReference<RolloutPart>()
     val configuration =
@@ -50,21 +50,21 @@
         }
     rollouts.set(startRolloutPart(context, requests, configuration.authenticate))
     rollouts.get().configurationChanged(configuration.current())
-    val membership =
-        startMembershipPart(context) { instances ->
-            peers.set(instances)
-            requests.instancesChanged(instances.size)
-            configuration.peersChanged(instances)
-            rollouts.get().peersChanged(instances)
-            explanations.peersChanged(instances)
-            objectives.peersChanged(instances)
-            billing.peersChanged(instances)
-        }
+    val listeners =
+        listOf(
+            peers::set,
+            { requests.instancesChanged(it.size) },
+            configuration.peersChanged,
+            rollouts.get().peersChanged,
+            explanations.peersChanged,
+            objectives.peersChanged,
+            billing.peersChanged,
+        )
     return EntryParts(
         requests = requests,
         configuration = configuration,
         rollouts = rollouts.get(),
-        membership = membership,
+        membership = startMembershipPart(context) { instances -> listeners.forEach { it(instances) } },
         attempts = startAttemptPart(context),
         explanations = explanations,
         objectives = objectives,
@@ -130,5 +130,7 @@
         requests.certaintyChanged(configuration.certain())
     }
 
+/** The one shard under which backend servers are ordered, so that the budget is counted in one place. */
+private const val ORDER_SHARD = "all"
 private const val CERTAINTY_MILLISECONDS = 250L
 private const val CRASH_REPORT_MILLISECONDS = 2_000L
