Call the counts of executed writes in the form that the stand-ins have now

Change: both calls in the demonstration and the process test take the form of the stand-ins; what they check is the same.

--- a/command/src/main/kotlin/org/mulberrypin/command/demo/DemoSummary.kt
+++ b/command/src/main/kotlin/org/mulberrypin/command/demo/DemoSummary.kt
@@ -21,7 +21,7 @@
 ): DemoSummary {
     val callers = load.callers
     val trainer = load.trainer
-    val duplicates = callers.doubled + trainer.doubled + doubledWrites(callers.writes, network.shop.executions())
+    val duplicates = callers.doubled + trainer.doubled + callers.doubledWrites(network.shop.executions())
     val windows = network.platform.records().usage
     val conflicting = windows.groupBy { it.name }.values.count { sent -> sent.distinct().size > 1 }
     val lines =
--- a/command/src/test/kotlin/org/mulberrypin/command/processes/ProcessPathTest.kt
+++ b/command/src/test/kotlin/org/mulberrypin/command/processes/ProcessPathTest.kt
@@ -55,8 +55,8 @@
     ) {
         expectThat(report.calls).isEqualTo(report.whole + report.refused.values.sum())
         expectThat(report.lost + report.crossed + report.doubled + report.damaged).isEqualTo(0)
-        expectThat(doubledWrites(report.writes, executions)).isEqualTo(0)
-        expectThat(falselyNotRun(report.writesNotRun, executions)).isEqualTo(0)
+        expectThat(report.doubledWrites(executions)).isEqualTo(0)
+        expectThat(report.falselyNotRun(executions)).isEqualTo(0)
     }
 
     private fun checkTrainer(report: TrainerReport) {
