--- a/service/src/main/kotlin/org/mulberrypin/service/frontend/CallerGate.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/frontend/CallerGate.kt
@@ -32,11 +32,12 @@
  */
 internal fun callerGate(
     call: AggregatedHttpRequest,
-    parts: FrontEndParts,
+    certain: () -> Boolean,
+    authenticate: (String?) -> Caller?,
 ): CallerGate {
-    if (!parts.certain()) return CallerGate.Refused(refusalResponse(uncertain))
+    if (!certain()) return CallerGate.Refused(refusalResponse(uncertain))
     val header = call.headers().get(HttpHeaderNames.AUTHORIZATION) ?: return CallerGate.Admitted(nobody)
-    val caller = parts.authenticate(header)
+    val caller = authenticate(header)
     return when {
         caller == null -> {
             refused(HttpStatus.UNAUTHORIZED, "unknown_key", "The key is unknown or was withdrawn.")
--- a/service/src/main/kotlin/org/mulberrypin/service/frontend/PlainServiceFrontEnd.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/frontend/PlainServiceFrontEnd.kt
@@ -33,7 +33,7 @@
     context: ServiceRequestContext,
     call: AggregatedHttpRequest,
 ): HttpResponse =
-    when (val gate = callerGate(call, parts)) {
+    when (val gate = callerGate(call, parts.certain, parts.authenticate)) {
         is CallerGate.Refused -> gate.response.toHttpResponse()
         is CallerGate.Admitted -> submit(parts, context, call, gate.caller)
     }
