Serve the status of an instance; count lost calls by kind

The process test failed once: 2 of 240 calls were lost. Cause: the load library had meanwhile come to send writes without an idempotency key, and one that is at the killed or frozen instance cannot be sent again by its caller. Ruled out: lost completions and keyed writes (they are still required to be none). The check now names the kinds: no call of another kind may be lost, and at most one such write for each caller and disturbed instance.

--- a/service/src/main/kotlin/org/mulberrypin/service/CallerServer.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/CallerServer.kt
@@ -35,6 +35,7 @@
     plainServiceRoutes(frontEnd)(builder)
     parts.configuration.routes(builder)
     parts.rollouts.routes(builder)
+    statusRoute(context, parts, readiness)(builder)
     parts.explanations.routes(builder, parts.configuration.authenticate, parts.configuration.authenticateOperator)
     parts.objectives.routes(builder, parts.configuration.authenticateOperator)
     healthRoutes(builder, readiness, parts.configuration.certain, scrape)
--- a/service/src/main/kotlin/org/mulberrypin/service/StartParts.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/StartParts.kt
@@ -36,7 +36,7 @@
 ): EntryParts {
     val peers = AtomicReference(emptyList<InstanceEntry>())
     val objectives = startObjectivePart(context.settings.instance.name, context.clock, context.peers.countEvents)
-    val leases = startLeasePart(context, listOf(USAGE_LEASE, orderLease(ORDER_SHARD)))
+    val leases = startLeasePart(context, contendedLeases)
     val billing = startBillingPart(context, leases, context.peers.copyUsage)
     val supply = startSupplyPart(context, leases, ORDER_SHARD)
     val requests = startRequestPart(context, requestOutlets(context, objectives, billing, peers::get))
@@ -132,5 +132,9 @@
 
 /** The one shard under which backend servers are ordered, so that the budget is counted in one place. */
 private const val ORDER_SHARD = "all"
+
+/** Names of the leases for which every instance contends. */
+internal val contendedLeases = listOf(USAGE_LEASE, orderLease(ORDER_SHARD))
+
 private const val CERTAINTY_MILLISECONDS = 250L
 private const val CRASH_REPORT_MILLISECONDS = 2_000L
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/load/CallerReport.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/load/CallerReport.kt
@@ -9,6 +9,7 @@
  * @property refused calls whose last attempt was refused, by what all attempts say about the request: "not_run",
  * "may_have_run" or "unstated"
  * @property lost calls whose last attempt was cut or never sent
+ * @property lostByKind the same, by kind of call
  * @property crossed calls that got the answer to another request
  * @property doubled calls whose answer held a part twice
  * @property damaged calls whose answer was cut short or changed
@@ -25,6 +26,7 @@
     val whole: Long,
     val refused: Map<String, Long>,
     val lost: Long,
+    val lostByKind: Map<CallKind, Long>,
     val crossed: Long,
     val doubled: Long,
     val damaged: Long,
