--- a/runtime/src/main/kotlin/org/mulberrypin/runtime/ServiceClock.kt
+++ b/runtime/src/main/kotlin/org/mulberrypin/runtime/ServiceClock.kt
@@ -17,8 +17,10 @@
 /** Creates the clock of a running process, backed by the monotonic clock of the machine. */
 public fun systemClock(): ServiceClock =
     ServiceClock(
-        readMilliseconds = { System.nanoTime() / NANOSECONDS_PER_MILLISECOND },
+        readMilliseconds = ::monotonicClockMilliseconds,
         readWallMilliseconds = System::currentTimeMillis,
     )
 
+private fun monotonicClockMilliseconds(): Long = System.nanoTime() / NANOSECONDS_PER_MILLISECOND
+
 private const val NANOSECONDS_PER_MILLISECOND = 1_000_000L
--- a/service/src/main/kotlin/org/mulberrypin/service/frontend/CallerGate.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/frontend/CallerGate.kt
@@ -7,6 +7,7 @@
 import com.linecorp.armeria.common.AggregatedHttpRequest
 import com.linecorp.armeria.common.AggregatedHttpResponse
 import com.linecorp.armeria.common.HttpHeaderNames
+import com.linecorp.armeria.common.HttpResponse
 import com.linecorp.armeria.common.HttpStatus
 import org.mulberrypin.decisions.requests.Caller
 import org.mulberrypin.decisions.requests.Refusal
@@ -53,6 +54,17 @@
     }
 }
 
+/** Answers [call] for its caller, or refuses it. */
+internal fun admit(
+    parts: FrontEndParts,
+    call: AggregatedHttpRequest,
+    answer: (Caller) -> HttpResponse,
+): HttpResponse =
+    when (val gate = callerGate(call, parts.certain, parts.authenticate)) {
+        is CallerGate.Refused -> gate.response.toHttpResponse()
+        is CallerGate.Admitted -> answer(gate.caller)
+    }
+
 private fun carriesKey(
     call: AggregatedHttpRequest,
     key: String,
--- a/service/src/main/kotlin/org/mulberrypin/service/frontend/CompletionFrontEnd.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/frontend/CompletionFrontEnd.kt
@@ -32,17 +32,11 @@
     parts: FrontEndParts,
     context: ServiceRequestContext,
     call: HttpRequest,
-): HttpResponse = HttpResponse.of(call.aggregate().thenApply { answer(parts, context, it) })
-
-private fun answer(
-    parts: FrontEndParts,
-    context: ServiceRequestContext,
-    call: AggregatedHttpRequest,
-): HttpResponse =
-    when (val gate = callerGate(call, parts.certain, parts.authenticate)) {
-        is CallerGate.Refused -> gate.response.toHttpResponse()
-        is CallerGate.Admitted -> answerCaller(parts, context, call, gate.caller)
-    }
+): HttpResponse = HttpResponse.of(
+    call.aggregate().thenApply {
+        admit(parts, it) { caller -> answerCaller(parts, context, it, caller) }
+    },
+)
 
 private fun answerCaller(
     parts: FrontEndParts,
--- a/service/src/main/kotlin/org/mulberrypin/service/frontend/ErrorResponses.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/frontend/ErrorResponses.kt
@@ -12,6 +12,8 @@
 import org.mulberrypin.runtime.wireJson
 import org.mulberrypin.schema.generated.ErrorAnswer
 import org.mulberrypin.schema.generated.ErrorDetail
+import org.mulberrypin.service.MAY_HAVE_RUN
+import org.mulberrypin.service.NOT_RUN
 
 /** Answers that a request was not run, for a reason found by the front end itself. */
 internal fun notRunResponse(
@@ -77,7 +79,4 @@
         Refusal.RECORD_UNAVAILABLE -> "The record that the request needs cannot be written."
     }
 
-internal const val NOT_RUN = "not_run"
-internal const val MAY_HAVE_RUN = "may_have_run"
-
 private const val MILLISECONDS_PER_SECOND = 1_000L
--- a/service/src/main/kotlin/org/mulberrypin/service/frontend/PlainServiceFrontEnd.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/frontend/PlainServiceFrontEnd.kt
@@ -24,20 +24,12 @@
 internal fun plainServiceRoutes(parts: FrontEndParts): (ServerBuilder) -> Unit =
     { server ->
         server.service("prefix:$SERVICES_PATH") { context, call ->
-            HttpResponse.of(call.aggregate().thenApply { answer(parts, context, it) })
+            HttpResponse.of(
+                call.aggregate().thenApply { admit(parts, it) { caller -> submit(parts, context, it, caller) } },
+            )
         }
     }
 
-private fun answer(
-    parts: FrontEndParts,
-    context: ServiceRequestContext,
-    call: AggregatedHttpRequest,
-): HttpResponse =
-    when (val gate = callerGate(call, parts.certain, parts.authenticate)) {
-        is CallerGate.Refused -> gate.response.toHttpResponse()
-        is CallerGate.Admitted -> submit(parts, context, call, gate.caller)
-    }
-
 private fun submit(
     parts: FrontEndParts,
     context: ServiceRequestContext,
--- a/service/src/main/kotlin/org/mulberrypin/service/operators/JsonAnswers.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/operators/JsonAnswers.kt
@@ -11,6 +11,7 @@
 import org.mulberrypin.runtime.wireJson
 import org.mulberrypin.schema.generated.ErrorAnswer
 import org.mulberrypin.schema.generated.ErrorDetail
+import org.mulberrypin.service.NOT_RUN
 
 /** Answers the value of [outcome] as JSON, or its fault with status 503. */
 internal fun <Message> outcomeResponse(
@@ -40,5 +41,3 @@
     serializer: SerializationStrategy<Message>,
     message: Message,
 ): HttpResponse = HttpResponse.of(status, MediaType.JSON_UTF_8, wireJson.encodeToString(serializer, message))
-
-private const val NOT_RUN = "not_run"
--- a/service/src/main/kotlin/org/mulberrypin/service/requests/ArmeriaBackendClient.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/requests/ArmeriaBackendClient.kt
@@ -24,6 +24,7 @@
 import org.mulberrypin.schema.generated.CompletionRequest
 import org.mulberrypin.schema.generated.EngineLoad
 import org.mulberrypin.schema.generated.ErrorAnswer
+import org.mulberrypin.service.NOT_RUN
 import java.time.Duration
 
 /** Creates a client for backend servers. */
@@ -146,9 +147,6 @@
     return parsed is Outcome.Success && parsed.value.error.run == NOT_RUN
 }
 
-internal const val NOT_RUN = "not_run"
-internal const val MAY_HAVE_RUN = "may_have_run"
-
 /** Largest answer of a plain service, in bytes. */
 private const val PLAIN_ANSWER_BYTES = 10L * 1024 * 1024
 
