--- a/command/src/main/kotlin/org/mulberrypin/command/AllCommands.kt
+++ b/command/src/main/kotlin/org/mulberrypin/command/AllCommands.kt
@@ -6,6 +6,7 @@
 public val allCommands: List<Command> =
     listOf(
         serveCommand,
+        entryCommand,
         demoCommand,
         checkSettingsCommand,
         configurationShowCommand,
--- /dev/null
+++ b/command/src/main/kotlin/org/mulberrypin/command/EntryCommand.kt
@@ -0,0 +1,52 @@
+package org.mulberrypin.command
+
+import com.linecorp.armeria.client.ClientFactory
+import org.mulberrypin.platform.deployment.DeploymentSettings
+import org.mulberrypin.platform.deployment.SETTINGS_VARIABLE
+import org.mulberrypin.platform.deployment.readDeploymentSettings
+import org.mulberrypin.runtime.Outcome
+import org.mulberrypin.runtime.systemClock
+import org.mulberrypin.service.deployment.startDeploymentInstance
+import java.nio.file.Path
+
+internal val entryCommand: Command =
+    command(
+        "entry",
+        "Runs an entry instance with the settings that the platform places beside it.",
+        ::EntryOptions,
+        ::runEntry,
+    )
+
+private fun runEntry(
+    options: EntryOptions,
+    console: Console,
+): ExitCode {
+    val file = options.file.ifEmpty { System.getenv(SETTINGS_VARIABLE) }
+    if (file == null) {
+        console.complain("expected a settings file in --settings or in the variable $SETTINGS_VARIABLE")
+        return ExitCode.WRONG_USAGE
+    }
+    return when (val settings = readDeploymentSettings(Path.of(file))) {
+        is Outcome.Failure -> {
+            console.complain(settings.fault.toString())
+            ExitCode.WRONG_USAGE
+        }
+
+        is Outcome.Success -> {
+            run(settings.value, options)
+        }
+    }
+}
+
+private fun run(
+    settings: DeploymentSettings,
+    options: EntryOptions,
+): ExitCode {
+    // A shutdown still writes to the store, which the library's own hook would prevent.
+    ClientFactory.disableShutdownHook()
+    val instance = startDeploymentInstance(settings, options.metricsPort, systemClock())
+    if (options.runMilliseconds == 0L) return runUntilTold(instance.drainAndStop)
+    Thread.sleep(options.runMilliseconds)
+    instance.drainAndStop()
+    return ExitCode.GOOD
+}
--- /dev/null
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/instances/WatchInstances.kt
@@ -0,0 +1,45 @@
+/** Decides from repeated readings of the heartbeat table which instances are alive. */
+package org.mulberrypin.decisions.instances
+
+import org.mulberrypin.schema.generated.InstanceHeartbeat
+
+/**
+ * What one instance has seen of the heartbeats of all.
+ *
+ * @property seen the newest heartbeat of each instance and how many readings in a row showed it unchanged
+ */
+public data class InstanceWatch(
+    val seen: Map<String, SeenHeartbeat> = emptyMap(),
+)
+
+/** A heartbeat and the number of readings since it last changed. */
+public data class SeenHeartbeat(
+    val heartbeat: InstanceHeartbeat,
+    val unchangedReadings: Int,
+)
+
+/** Takes a reading of the whole table. Only readings that succeeded count, so that an outage of the store kills nobody. */
+public fun InstanceWatch.read(heartbeats: List<InstanceHeartbeat>): InstanceWatch =
+    InstanceWatch(
+        heartbeats.associate { heartbeat ->
+            val known = seen[heartbeat.name]
+            val isSame = known?.heartbeat == heartbeat
+            heartbeat.name to SeenHeartbeat(heartbeat, if (isSame) known.unchangedReadings + 1 else 0)
+        },
+    )
+
+/** The instances whose heartbeats go on and that are not leaving. */
+public fun InstanceWatch.liveInstances(): List<InstanceHeartbeat> =
+    seen.values
+        .filter { it.unchangedReadings < MISSED_READINGS && !it.heartbeat.leaving }
+        .map { it.heartbeat }
+
+/** Instances that are gone for so many readings that their rows can be removed. */
+public fun InstanceWatch.forgottenInstances(): List<InstanceHeartbeat> =
+    seen.values.filter { it.unchangedReadings >= FORGOTTEN_READINGS }.map { it.heartbeat }
+
+/** Readings without a new heartbeat after which an instance counts as gone; readings come once for each heartbeat. */
+private const val MISSED_READINGS = 3
+
+/** Readings after which the row of an instance that is gone is removed. */
+private const val FORGOTTEN_READINGS = 60
--- /dev/null
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunJobs.kt
@@ -0,0 +1,314 @@
+/**
+ * Decides the life of a batch job: acceptance, the listing of results, its end, and which instance runs it. The job's
+ * row in the store names its owner; every write of results is conditional on that row, so that an instance that was
+ * replaced can list nothing.
+ */
+package org.mulberrypin.decisions.traffic
+
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentMap
+import org.mulberrypin.decisions.Transition
+import org.mulberrypin.decisions.andThen
+import org.mulberrypin.schema.generated.JobRecord
+import org.mulberrypin.schema.generated.JobSubmission
+
+internal fun TrafficState.submitJob(event: TrafficEvent.JobSubmitted): Transition<TrafficState, TrafficEffect> {
+    val known = records[event.record.id]
+    return when {
+        known != null && known.record.team == event.record.team -> {
+            Transition(this, listOf(TrafficEffect.AcceptJob(event.request)))
+        }
+
+        draining -> {
+            val explanation = TrafficEffect.Explain(event.record.id, "job refused", identity.name, "shutting down")
+            Transition(this, listOf(explanation, TrafficEffect.Refuse(event.request, UNAVAILABLE, "shutting down")))
+        }
+
+        else -> {
+            val owned = event.record.copy(owner = identity.name, ownerIncarnation = identity.incarnation)
+            val store = TrafficEffect.StoreJob(event.request, owned, event.submission, event.lengthHints)
+            Transition(this, listOf(store))
+        }
+    }
+}
+
+internal fun TrafficState.acceptStoredJob(
+    event: TrafficEvent.JobStored,
+    nowMilliseconds: Long,
+): Transition<TrafficState, TrafficEffect> {
+    val seen = copy(records = records.put(event.record.id, KnownJob(event.record, event.version)))
+    val loaded = TrafficEvent.JobLoaded(event.record, event.version, event.submission, event.lengthHints, emptyList())
+    val accepted = listOf(TrafficEffect.AcceptJob(event.request))
+    val next = if (event.record.id in jobs) Transition(seen) else seen.loadJob(loaded, nowMilliseconds)
+    return next.copy(effects = accepted + next.effects)
+}
+
+/** Starts or corrects a job from what the store has of it. */
+internal fun TrafficState.loadJob(
+    event: TrafficEvent.JobLoaded,
+    nowMilliseconds: Long,
+): Transition<TrafficState, TrafficEffect> {
+    val id = event.record.id
+    if (!isOwn(event.record) || event.record.ended) return dropJob(id, "ended or owned by ${event.record.owner}")
+    val known = jobs[id]
+    val listed = event.listed.toSet()
+    val job = if (known == null) {
+        newJob(event, listed, nowMilliseconds)
+    } else {
+        known.copy(
+            record = event.record,
+            version = event.version,
+            listed = event.listed.size,
+            unlisted = known.unlisted.filter { it.id !in listed }.toPersistentList(),
+            writing = 0,
+            reloading = false,
+        )
+    }
+    val explanation = TrafficEffect.Explain(
+        id,
+        "job loaded",
+        identity.name,
+        "version=${event.version} tasks=${job.tasks.size} listed=${job.listed}",
+    )
+    val noted = Transition<TrafficState, TrafficEffect>(copy(jobs = jobs.put(id, job)), listOf(explanation))
+    return noted.andThen { it.writeResults(id, nowMilliseconds) }.andThen { it.dispatchTasks(nowMilliseconds) }
+}
+
+private fun newJob(
+    event: TrafficEvent.JobLoaded,
+    listed: Set<String>,
+    nowMilliseconds: Long,
+): RunningJob =
+    RunningJob(
+        record = event.record,
+        version = event.version,
+        submission = event.submission,
+        startedMilliseconds = nowMilliseconds,
+        order = taskOrder(event.submission, event.lengthHints),
+        tasks = event.submission.tasks
+            .associate { task ->
+                val phase = if (task.id in listed) TaskPhase.DONE else TaskPhase.WAITING
+                task.id to TaskProgress(task, event.lengthHints[task.id] ?: 0, phase)
+            }.toPersistentMap(),
+        listed = event.listed.size,
+        unlisted = persistentListOf(),
+    )
+
+internal fun TrafficState.isOwn(record: JobRecord): Boolean =
+    record.owner == identity.name && record.ownerIncarnation == identity.incarnation
+
+/** Stops running a job; its open connections to engines are closed. */
+internal fun TrafficState.dropJob(
+    id: String,
+    reason: String,
+): Transition<TrafficState, TrafficEffect> {
+    val job = jobs[id] ?: return Transition(this)
+    val running = job.tasks.values.filter { it.phase == TaskPhase.RUNNING }
+    val scorings = requests.values.filter { (it.origin as? Origin.Scoring)?.job == id }
+    var table = backends
+    running.forEach { task -> table = table.changed(task.server.orEmpty(), Backend::released) }
+    scorings.mapNotNull { it.server }.forEach { table = table.changed(it, Backend::released) }
+    var open = requests
+    scorings.forEach { open = open.remove(it.request) }
+    val inputs = "$reason; running=${running.size} listed=${job.listed} of ${job.tasks.size}"
+    return Transition(
+        copy(jobs = jobs.remove(id), backends = table, requests = open),
+        listOf(TrafficEffect.Explain(id, "job dropped", identity.name, inputs)) +
+            running.map { TrafficEffect.CancelTask(id, it.task.id) } +
+            scorings.map { TrafficEffect.Cancel(it.request) },
+    )
+}
+
+internal fun TrafficState.acceptJobRows(
+    rows: List<JobRow>,
+    nowMilliseconds: Long,
+): Transition<TrafficState, TrafficEffect> {
+    var result = Transition<TrafficState, TrafficEffect>(this)
+    rows.forEach { row -> result = result.andThen { it.acceptJobRow(row, nowMilliseconds) } }
+    return result
+}
+
+private fun TrafficState.acceptJobRow(
+    row: JobRow,
+    nowMilliseconds: Long,
+): Transition<TrafficState, TrafficEffect> {
+    val record = row.record
+    if (record == null) {
+        val dropped = dropJob(row.id, "removed")
+        return dropped.copy(state = dropped.state.copy(records = dropped.state.records.remove(row.id)))
+    }
+    val known = records[row.id]
+    if (known != null && known.version >= row.version) return Transition(this)
+    val seen = copy(records = records.put(row.id, KnownJob(record, row.version)))
+    val job = jobs[row.id] ?: return Transition(seen)
+    return when {
+        record.ended || !isOwn(record) -> {
+            seen.dropJob(row.id, "ended=${record.ended} owner=${record.owner}")
+        }
+
+        job.writing > 0 || job.reloading -> {
+            Transition(seen)
+        }
+
+        else -> {
+            val current = job.copy(record = record, version = maxOf(job.version, row.version))
+            seen.copy(jobs = seen.jobs.put(row.id, current)).writeResults(row.id, nowMilliseconds)
+        }
+    }
+}
+
+/** Writes the results that wait, one write of a job at a time. */
+internal fun TrafficState.writeResults(
+    id: String,
+    nowMilliseconds: Long,
+): Transition<TrafficState, TrafficEffect> {
+    val job = jobs[id] ?: return Transition(this)
+    if (job.unlisted.isEmpty() || job.writing > 0 || job.reloading) return Transition(this)
+    val results = job.unlisted.take(LARGEST_WRITE)
+    val isLast = job.listed + results.size >= job.tasks.size
+    val record = if (isLast) job.record.copy(complete = true) else job.record
+    val batch = ResultBatch(record, job.version, job.listed, results)
+    val writing = job.copy(writing = results.size, reloadMilliseconds = nowMilliseconds)
+    return Transition(copy(jobs = jobs.put(id, writing)), listOf(TrafficEffect.WriteResults(batch)))
+}
+
+internal fun TrafficState.acceptWritten(
+    event: TrafficEvent.ResultsWritten,
+    nowMilliseconds: Long,
+): Transition<TrafficState, TrafficEffect> {
+    val job = jobs[event.job] ?: return Transition(this)
+    val written = job.unlisted.take(job.writing)
+    val rest = job.unlisted.drop(job.writing).toPersistentList()
+    val next = job.copy(
+        listed = job.listed + written.size,
+        unlisted = rest,
+        writing = 0,
+        version = event.version,
+    )
+    val explanations = written.map {
+        TrafficEffect.Explain(
+            it.id,
+            "result listed ${it.state}",
+            event.job,
+            "weights=${it.versions} listed=${next.listed}",
+        )
+    }
+    if (next.listed >= next.tasks.size) {
+        return Transition<TrafficState, TrafficEffect>(this, explanations).andThen { it.dropJob(event.job, "complete") }
+    }
+    return Transition<TrafficState, TrafficEffect>(copy(jobs = jobs.put(event.job, next)), explanations)
+        .andThen { it.writeResults(event.job, nowMilliseconds) }
+}
+
+/** After a write whose outcome is not certain, the rows of the job decide. */
+internal fun TrafficState.acceptNotWritten(
+    event: TrafficEvent.ResultsNotWritten,
+    nowMilliseconds: Long,
+): Transition<TrafficState, TrafficEffect> {
+    val job = jobs[event.job] ?: return Transition(this)
+    val reloading = job.copy(reloading = true, reloadMilliseconds = nowMilliseconds + RELOAD_PAUSE_MILLISECONDS)
+    return Transition(
+        copy(jobs = jobs.put(event.job, reloading)),
+        listOf(TrafficEffect.Explain(event.job, "results not written", "store", event.detail)),
+    )
+}
+
+/** Reads rows again where an outcome is open, and gives up tasks whose time is over. */
+internal fun TrafficState.continueJobs(
+    nowMilliseconds: Long,
+    wallMilliseconds: Long,
+): Transition<TrafficState, TrafficEffect> {
+    var result = Transition<TrafficState, TrafficEffect>(this)
+    for (job in jobs.values) {
+        result = result.andThen { it.continueJob(job.record.id, nowMilliseconds) }
+        result = result.andThen { it.expireTasks(job.record.id, nowMilliseconds, wallMilliseconds) }
+    }
+    return result
+}
+
+private fun TrafficState.continueJob(
+    id: String,
+    nowMilliseconds: Long,
+): Transition<TrafficState, TrafficEffect> {
+    val job = jobs[id] ?: return Transition(this)
+    if (!job.reloading || job.reloadMilliseconds > nowMilliseconds) return Transition(this)
+    val waiting = job.copy(reloadMilliseconds = nowMilliseconds + RELOAD_REPEAT_MILLISECONDS)
+    return Transition(copy(jobs = jobs.put(id, waiting)), listOf(TrafficEffect.ReloadJob(job.record)))
+}
+
+private fun TrafficState.expireTasks(
+    id: String,
+    nowMilliseconds: Long,
+    wallMilliseconds: Long,
+): Transition<TrafficState, TrafficEffect> {
+    val job = jobs[id] ?: return Transition(this)
+    val route = routing?.findRoute(job.record.host, job.record.path) ?: return Transition(this)
+    val age = wallMilliseconds - job.record.submittedWallMilliseconds
+    if (route.taskExpiryMilliseconds == 0L || age < route.taskExpiryMilliseconds + EXPIRY_SLACK_MILLISECONDS) {
+        return Transition(this)
+    }
+    var result = Transition<TrafficState, TrafficEffect>(this)
+    job.tasks.values.filter { it.phase == TaskPhase.WAITING }.forEach { task ->
+        result = result.andThen { state ->
+            val current = state.jobs[id] ?: return@andThen Transition(state)
+            state.finishTask(current, task, failed(task), nowMilliseconds)
+        }
+    }
+    return result
+}
+
+/** Takes over jobs whose owner is gone and for which this instance is the next. */
+internal fun TrafficState.takeOverJobs(nowMilliseconds: Long): Transition<TrafficState, TrafficEffect> {
+    if (draining || nowMilliseconds - lastTakeoverMilliseconds < TAKEOVER_PAUSE_MILLISECONDS) return Transition(this)
+    if (liveInstances.none { it.name == identity.name }) return Transition(this)
+    val orphans = records.values.filter { known ->
+        val record = known.record
+        !record.ended && !record.complete && !isOwn(record) && isOrphan(record) && isHeir(record.id)
+    }
+    if (orphans.isEmpty()) return Transition(this)
+    return Transition(
+        copy(lastTakeoverMilliseconds = nowMilliseconds),
+        orphans.flatMap { known ->
+            val inputs = "owner=${known.record.owner} version=${known.version} live=${liveInstances.size}"
+            val owned = known.record.copy(owner = identity.name, ownerIncarnation = identity.incarnation)
+            listOf(
+                TrafficEffect.Explain(known.record.id, "taking job over", identity.name, inputs),
+                TrafficEffect.TakeOverJob(owned, known.version),
+            )
+        },
+    )
+}
+
+private fun TrafficState.isOrphan(record: JobRecord): Boolean =
+    liveInstances.none { it.name == record.owner && it.incarnation == record.ownerIncarnation }
+
+private fun TrafficState.isHeir(job: String): Boolean {
+    val heir = liveInstances.maxByOrNull { mix(mix(0, job), it.name) }
+    return heir?.name == identity.name
+}
+
+internal fun TrafficState.releaseJobs(): Transition<TrafficState, TrafficEffect> {
+    var result = Transition<TrafficState, TrafficEffect>(this)
+    for (job in jobs.values) {
+        val release = TrafficEffect.ReleaseJob(job.record.copy(owner = "", ownerIncarnation = 0), job.version)
+        result = result.andThen { it.dropJob(job.record.id, "shutting down") }
+        result = result.copy(effects = result.effects + release)
+    }
+    return result
+}
+
+/** Results in one write; the store takes 100 rows in one transaction, and a result may take several. */
+private const val LARGEST_WRITE = 12
+
+/** Pause before rows are read again after a failed write, in milliseconds. */
+private const val RELOAD_PAUSE_MILLISECONDS = 200L
+
+/** Time after which rows are read again when no answer came, in milliseconds. */
+private const val RELOAD_REPEAT_MILLISECONDS = 1_200L
+
+/** Slack for clocks of the time of day that differ between instances, in milliseconds. */
+private const val EXPIRY_SLACK_MILLISECONDS = 1_000L
+
+/** Pause between two attempts to take jobs over, in milliseconds. */
+private const val TAKEOVER_PAUSE_MILLISECONDS = 500L
--- /dev/null
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
@@ -0,0 +1,305 @@
+/**
+ * Decides how the tasks of a job run: which task goes to which engine, how a broken stream goes on from its last event,
+ * and when a task is done.
+ */
+package org.mulberrypin.decisions.traffic
+
+import org.mulberrypin.decisions.Transition
+import org.mulberrypin.decisions.andThen
+import org.mulberrypin.schema.generated.JobSubmission
+import org.mulberrypin.schema.generated.ServingRoute
+import org.mulberrypin.schema.generated.TaskResult
+
+/**
+ * The order in which tasks start: first the groups that come first in the submission, for which the trainer may wait in
+ * any case, then the shorter ones, since the trainer ends the job once it has enough complete groups. Within a group,
+ * the longest start first.
+ */
+internal fun taskOrder(
+    submission: JobSubmission,
+    lengthHints: Map<String, Long>,
+): List<String> {
+    val groups = submission.tasks
+        .groupBy { it.group }
+        .values
+        .toList()
+    val certain = submission.wantedGroups / 2
+    val (first, others) = groups.withIndex().partition { it.index < certain }
+    val sorted = others.sortedBy { group -> group.value.maxOf { lengthHints[it.id] ?: 0 } }
+    return (first + sorted)
+        .flatMap { group ->
+            group.value.sortedByDescending { lengthHints[it.id] ?: 0 }
+        }.map { it.id }
+}
+
+internal fun TrafficState.withTask(
+    job: RunningJob,
+    task: TaskProgress,
+): TrafficState = copy(jobs = jobs.put(job.record.id, job.copy(tasks = job.tasks.put(task.task.id, task))))
+
+/** Sends the tasks that wait for an engine or for their scoring call. */
+internal fun TrafficState.dispatchTasks(nowMilliseconds: Long): Transition<TrafficState, TrafficEffect> {
+    var result = Transition<TrafficState, TrafficEffect>(this)
+    val oldestFirst = jobs.values.sortedBy { it.record.submittedWallMilliseconds }
+    for (job in oldestFirst) {
+        for (id in job.order) {
+            val task = result.state.jobs[job.record.id]
+                ?.tasks
+                ?.get(id) ?: break
+            if (task.phase == TaskPhase.DONE || task.phase == TaskPhase.RUNNING) continue
+            if (task.notBeforeMilliseconds > nowMilliseconds) continue
+            result = result.andThen { it.dispatchTask(job.record.id, task, nowMilliseconds) }
+        }
+    }
+    return result
+}
+
+private fun TrafficState.dispatchTask(
+    jobId: String,
+    task: TaskProgress,
+    nowMilliseconds: Long,
+): Transition<TrafficState, TrafficEffect> {
+    val job = jobs[jobId] ?: return Transition(this)
+    if (task.phase == TaskPhase.SCORING) return scoreAgain(job, task, nowMilliseconds)
+    val table = routing ?: return Transition(this)
+    val route = table.findRoute(job.record.host, task.task.path)
+        ?: return finishTask(job, task, failed(task), nowMilliseconds)
+    val chosen = chooseEngine(job, route, task, nowMilliseconds) ?: return Transition(this)
+    val running = task.copy(
+        phase = TaskPhase.RUNNING,
+        attempt = task.attempt + 1,
+        server = chosen.entry.id,
+        heardMilliseconds = nowMilliseconds,
+        currentVersion = chosen.versionOf(job.submission.model),
+    )
+    val next = withTask(job, running).copy(backends = backends.changed(chosen.entry.id, Backend::sent))
+    val inputs = "attempt=${running.attempt} job=$jobId inFlight=${chosen.inFlight} load=${chosen.load} " +
+        "weights=${running.currentVersion} minimum=${job.submission.minimumVersion} lastEvent=${task.lastEvent}"
+    return Transition(
+        next,
+        listOf(
+            TrafficEffect.Explain(task.task.id, "sent", chosen.entry.id, inputs),
+            TrafficEffect.RunTask(
+                job = jobId,
+                task = task.task,
+                attempt = running.attempt,
+                address = chosen.entry.address,
+                server = chosen.entry.id,
+                host = job.record.host,
+                team = job.record.team,
+                lastEvent = task.lastEvent,
+            ),
+        ),
+    )
+}
+
+private fun TrafficState.scoreAgain(
+    job: RunningJob,
+    task: TaskProgress,
+    nowMilliseconds: Long,
+): Transition<TrafficState, TrafficEffect> {
+    val origin = Origin.Scoring(job.record.id, task.task.id)
+    val call = task.task.scoring
+    return when {
+        call == null -> finishTask(job, task, completed(task, ""), nowMilliseconds)
+        requests.values.any { it.origin == origin } -> Transition(this)
+        else -> startScoring(job.record.id, task.task.id, call, nowMilliseconds) ?: Transition(this)
+    }
+}
+
+/** An engine with suitable weights and room: preferably the one that has read the prompt of the group already. */
+private fun TrafficState.chooseEngine(
+    job: RunningJob,
+    route: ServingRoute,
+    task: TaskProgress,
+    nowMilliseconds: Long,
+): Backend? {
+    val pools = route.pools.mapTo(HashSet()) { it.pool }
+    val model = job.submission.model
+    val open = backends.values.filter { backend ->
+        backend.entry.pool in pools && !backend.entry.leaving &&
+            backend.versionOf(model) >= job.submission.minimumVersion &&
+            mayContinue(route, task, backend.versionOf(model)) &&
+            backend.inFlight < backend.entry.slots &&
+            backend.avoidedUntilMilliseconds <= nowMilliseconds
+    }
+    val near = job.tasks.values
+        .filter { it.task.group == task.task.group && it.task.id != task.task.id }
+        .mapNotNullTo(HashSet()) { it.server }
+    return chooseBackend(
+        open.filter { it.entry.id in near }.ifEmpty { open },
+        identity.failureDomain,
+        mix(0, task.task.group),
+        nowMilliseconds,
+    )
+}
+
+private fun mayContinue(
+    route: ServingRoute,
+    task: TaskProgress,
+    version: Long,
+): Boolean = !route.singleWeightVersion || task.versions.all { it == version }
+
+internal fun TrafficState.acceptTaskAnswer(
+    event: TrafficEvent.TaskAnswered,
+    nowMilliseconds: Long,
+): Transition<TrafficState, TrafficEffect> {
+    val job = jobs[event.job] ?: return Transition(this)
+    val task = job.running(event.task, event.attempt) ?: return Transition(this)
+    val server = task.server.orEmpty()
+    if (event.status < REDIRECTIONS) {
+        val version = event.version ?: task.currentVersion
+        val isStale = version < job.submission.minimumVersion
+        val started = task.copy(currentVersion = version, heardMilliseconds = nowMilliseconds)
+        return if (isStale) {
+            breakTask(
+                job,
+                started,
+                "weights=$version are too old",
+                nowMilliseconds,
+                cancel = true,
+            )
+        } else {
+            Transition(withTask(job, started))
+        }
+    }
+    val detail = "status ${event.status}, notRun=${event.notRun}"
+    val explanation = TrafficEffect.Explain(task.task.id, "attempt failed", server, detail)
+    val freed = copy(backends = backends.changed(server) { it.released().full(nowMilliseconds) })
+    val errors = task.errors + if (event.status == INTERNAL_ERROR) 1 else 0
+    val limit = routing?.findRoute(job.record.host, task.task.path)?.attemptLimit ?: 1
+    val isHopeless = !event.notRun && (event.status == UNPROCESSABLE || errors >= limit)
+    val waiting = task.copy(
+        phase = TaskPhase.WAITING,
+        errors = errors,
+        notBeforeMilliseconds = nowMilliseconds + REFUSED_PAUSE_MILLISECONDS,
+    )
+    val next = if (isHopeless) {
+        freed.finishTask(job, waiting, failed(waiting), nowMilliseconds)
+    } else {
+        Transition(freed.withTask(job, waiting))
+    }
+    return next.copy(effects = listOf(explanation) + next.effects)
+}
+
+internal fun TrafficState.acceptEvents(
+    event: TrafficEvent.TaskEventsArrived,
+    nowMilliseconds: Long,
+): Transition<TrafficState, TrafficEffect> {
+    val job = jobs[event.job] ?: return Transition(this)
+    var task = job.running(event.task, event.attempt) ?: return Transition(this)
+    for (part in event.events) {
+        if (part.id != task.lastEvent + 1) {
+            val detail = "event ${part.id} after event ${task.lastEvent}"
+            return breakTask(job, task, detail, nowMilliseconds, cancel = true)
+        }
+        val version = part.version ?: task.currentVersion
+        task = task.copy(
+            lastEvent = part.id,
+            text = task.text.add(part.data),
+            versions = task.versions + version,
+            currentVersion = version,
+        )
+    }
+    return Transition(withTask(job, task.copy(heardMilliseconds = nowMilliseconds)))
+}
+
+internal fun TrafficState.acceptTaskEnd(
+    event: TrafficEvent.TaskEnded,
+    nowMilliseconds: Long,
+): Transition<TrafficState, TrafficEffect> {
+    val job = jobs[event.job] ?: return Transition(this)
+    val task = job.running(event.task, event.attempt) ?: return Transition(this)
+    if (task.lastEvent == 0L) return breakTask(job, task, "the stream ended without an event", nowMilliseconds)
+    val freed = copy(backends = backends.changed(task.server.orEmpty()) { it.released().succeeded() })
+    val scoring = task.copy(phase = TaskPhase.SCORING, notBeforeMilliseconds = 0)
+    val explanation = TrafficEffect.Explain(
+        task.task.id,
+        "text complete",
+        task.server.orEmpty(),
+        "events=${task.lastEvent} weights=${task.versions.sorted()} attempts=${task.attempt}",
+    )
+    val noted = Transition<TrafficState, TrafficEffect>(freed.withTask(job, scoring), listOf(explanation))
+    return noted.andThen { state ->
+        state.jobs[job.record.id]?.let { state.scoreAgain(it, scoring, nowMilliseconds) } ?: Transition(state)
+    }
+}
+
+internal fun TrafficState.acceptTaskBreak(
+    event: TrafficEvent.TaskBroke,
+    nowMilliseconds: Long,
+): Transition<TrafficState, TrafficEffect> {
+    val job = jobs[event.job] ?: return Transition(this)
+    val task = job.running(event.task, event.attempt) ?: return Transition(this)
+    return breakTask(job, task, event.detail, nowMilliseconds)
+}
+
+/** Ends an attempt; the task goes on at another engine after the last event that arrived. */
+internal fun TrafficState.breakTask(
+    job: RunningJob,
+    task: TaskProgress,
+    detail: String,
+    nowMilliseconds: Long,
+    cancel: Boolean = false,
+): Transition<TrafficState, TrafficEffect> {
+    val server = task.server.orEmpty()
+    val freed = copy(backends = backends.changed(server) { it.released().failed(nowMilliseconds) })
+    val waiting = task.copy(phase = TaskPhase.WAITING)
+    val inputs = "$detail; attempt=${task.attempt} lastEvent=${task.lastEvent}"
+    return Transition(
+        freed.withTask(job, waiting),
+        listOfNotNull(
+            TrafficEffect.Explain(task.task.id, "attempt failed", server, inputs),
+            if (cancel) TrafficEffect.CancelTask(job.record.id, task.task.id) else null,
+        ),
+    )
+}
+
+/** Ends attempts of which nothing was heard for too long. */
+internal fun TrafficState.breakSilentTasks(nowMilliseconds: Long): Transition<TrafficState, TrafficEffect> {
+    var result = Transition<TrafficState, TrafficEffect>(this)
+    for (job in jobs.values) {
+        val silent = job.tasks.values.filter {
+            it.phase == TaskPhase.RUNNING && nowMilliseconds - it.heardMilliseconds > silenceLimit(it)
+        }
+        for (task in silent) {
+            result = result.andThen { state ->
+                val current = state.jobs[job.record.id] ?: return@andThen Transition(state)
+                state.breakTask(current, task, "nothing heard in time", nowMilliseconds, cancel = true)
+            }
+        }
+    }
+    return result
+}
+
+private fun silenceLimit(task: TaskProgress): Long =
+    if (task.lastEvent == 0L) FIRST_EVENT_MILLISECONDS else NEXT_EVENT_MILLISECONDS
+
+internal fun TrafficState.finishTask(
+    job: RunningJob,
+    task: TaskProgress,
+    result: TaskResult,
+    nowMilliseconds: Long,
+): Transition<TrafficState, TrafficEffect> {
+    val done = task.copy(phase = TaskPhase.DONE)
+    val next = job.copy(tasks = job.tasks.put(task.task.id, done), unlisted = job.unlisted.add(result))
+    return copy(jobs = jobs.put(job.record.id, next)).writeResults(job.record.id, nowMilliseconds)
+}
+
+internal fun RunningJob.running(
+    task: String,
+    attempt: Int,
+): TaskProgress? = tasks[task]?.takeIf { it.phase == TaskPhase.RUNNING && it.attempt == attempt }
+
+private const val REDIRECTIONS = 300
+private const val INTERNAL_ERROR = 500
+private const val UNPROCESSABLE = 422
+
+/** Pause after an engine refused a task, in milliseconds: about the work of one event. */
+private const val REFUSED_PAUSE_MILLISECONDS = 100L
+
+/** Time within which the first event comes, also after a wait in the engine's queue, in milliseconds. */
+private const val FIRST_EVENT_MILLISECONDS = 2_500L
+
+/** Time within which the next event comes, in milliseconds; ten times the pause that a slow engine makes. */
+private const val NEXT_EVENT_MILLISECONDS = 1_500L
--- /dev/null
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
@@ -0,0 +1,131 @@
+/** Composes the duties of an entry instance on the users' platform. */
+package org.mulberrypin.service.deployment
+
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import org.mulberrypin.decisions.traffic.InstanceIdentity
+import org.mulberrypin.decisions.traffic.TrafficEvent
+import org.mulberrypin.platform.deployment.DeploymentSettings
+import org.mulberrypin.platform.deployment.FrontAddresses
+import org.mulberrypin.platform.deployment.FrontEndPorts
+import org.mulberrypin.platform.deployment.frontServer
+import org.mulberrypin.platform.deployment.httpBackendCalls
+import org.mulberrypin.platform.deployment.httpClients
+import org.mulberrypin.platform.deployment.httpRowStore
+import org.mulberrypin.runtime.ServiceClock
+import java.net.InetSocketAddress
+import java.util.concurrent.atomic.AtomicBoolean
+
+/**
+ * A running entry instance.
+ *
+ * @property drainAndStop stops the instance; callers are asked to leave and jobs are given to other instances first
+ */
+public data class DeploymentInstance(
+    val drainAndStop: () -> Unit,
+)
+
+/** Starts an entry instance; [metricsPort] is the port of the metrics. */
+public fun startDeploymentInstance(
+    settings: DeploymentSettings,
+    metricsPort: Int,
+    clock: ServiceClock,
+): DeploymentInstance {
+    val identity = InstanceIdentity(settings.instance, clock.readWallMilliseconds(), settings.failureDomain)
+    val log = startDecisionLog(identity.name, clock)
+    val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    val clients = httpClients()
+    val store = httpRowStore(clients(settings.storeAddress), settings.storeAddress)
+    val backends = httpBackendCalls(clients, settings.usageAddress)
+    lateinit var traffic: TrafficDuty
+    val onInstances = { live: List<org.mulberrypin.decisions.traffic.LiveInstance> ->
+        traffic.tell(TrafficEvent.InstancesSeen(live))
+    }
+    val control = ControlDuty(identity, settings, ControlPorts(store, backends, clock, log, onInstances))
+    val ports = TrafficPorts(store, backends, control::countUsage, clock, log, trafficCounters(registry))
+    traffic = TrafficDuty(identity, ports)
+    val readiness = InstanceReadiness()
+    val follow = FollowDuty(store, outlets(traffic, control, readiness), clock, log)
+    val server = frontServer(addresses(settings, metricsPort), frontPorts(traffic, readiness, registry))
+    server.start().join()
+    traffic.start()
+    control.start()
+    follow.start()
+    log.write(
+        "instance",
+        identity.name,
+        "started",
+        inputs = "incarnation=${identity.incarnation} store=${settings.storeAddress}",
+    )
+    val shutdown = DeploymentShutdown(settings.graceMilliseconds, clock, readiness, traffic, control)
+    return DeploymentInstance {
+        log.write("instance", identity.name, "stopping")
+        shutdown.drain()
+        log.write(
+            "instance",
+            identity.name,
+            "stopped",
+            inputs = "underWay=${traffic.underWay} linesLeftOut=${log.droppedLines}",
+        )
+        server.stop()
+        follow.stop()
+        control.stop()
+        traffic.stop()
+        log.stop()
+    }
+}
+
+/** What makes an instance ready: a configuration, a list of backend servers, and no shutdown. */
+internal class InstanceReadiness {
+    val knowsConfiguration = AtomicBoolean()
+    val knowsBackends = AtomicBoolean()
+    val draining = AtomicBoolean()
+
+    fun isReady(): Boolean = knowsConfiguration.get() && knowsBackends.get() && !draining.get()
+}
+
+private fun outlets(
+    traffic: TrafficDuty,
+    control: ControlDuty,
+    readiness: InstanceReadiness,
+): FollowOutlets =
+    FollowOutlets(
+        onConfiguration = {
+            traffic.tell(TrafficEvent.ConfigurationChanged(it))
+            control.offer(ControlSignal.ListsChanged(pools = it.pools))
+            readiness.knowsConfiguration.set(true)
+        },
+        onWeights = { control.offer(ControlSignal.ListsChanged(named = it)) },
+        onBackends = {
+            traffic.tell(TrafficEvent.BackendsChanged(it))
+            control.offer(ControlSignal.ListsChanged(backends = it))
+            readiness.knowsBackends.set(true)
+        },
+        onJobs = { traffic.tell(TrafficEvent.JobRowsSeen(it)) },
+    )
+
+private fun frontPorts(
+    traffic: TrafficDuty,
+    readiness: InstanceReadiness,
+    registry: PrometheusMeterRegistry,
+): FrontEndPorts =
+    FrontEndPorts(
+        onCall = traffic::submit,
+        onLeft = { traffic.tell(TrafficEvent.CallerLeft(it)) },
+        isReady = readiness::isReady,
+        isDraining = readiness.draining::get,
+        scrape = registry::scrape,
+    )
+
+private fun addresses(
+    settings: DeploymentSettings,
+    metricsPort: Int,
+): FrontAddresses =
+    FrontAddresses(
+        callers = socketAddress(settings.frontAddress),
+        readiness = socketAddress(settings.readyAddress),
+        metrics = if (metricsPort > 0) InetSocketAddress(settings.host, metricsPort) else null,
+    )
+
+private fun socketAddress(text: String): InetSocketAddress =
+    InetSocketAddress(text.substringBeforeLast(':'), text.substringAfterLast(':').toInt())
--- /dev/null
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/UsageKeeper.kt
@@ -0,0 +1,168 @@
+package org.mulberrypin.service.deployment
+
+import kotlinx.serialization.SerializationException
+import org.mulberrypin.decisions.leases.LeaseHold
+import org.mulberrypin.decisions.traffic.InstanceIdentity
+import org.mulberrypin.decisions.windows.UsageEffect
+import org.mulberrypin.decisions.windows.UsageEvent
+import org.mulberrypin.decisions.windows.UsageWindows
+import org.mulberrypin.decisions.windows.decideUsage
+import org.mulberrypin.decisions.windows.sumCounts
+import org.mulberrypin.platform.deployment.BackendCalls
+import org.mulberrypin.platform.deployment.OrderAnswer
+import org.mulberrypin.platform.deployment.RowCondition
+import org.mulberrypin.platform.deployment.RowRange
+import org.mulberrypin.platform.deployment.RowStore
+import org.mulberrypin.platform.deployment.RowTransaction
+import org.mulberrypin.platform.deployment.RowWrite
+import org.mulberrypin.platform.deployment.StoredRow
+import org.mulberrypin.platform.deployment.TransactionAnswer
+import org.mulberrypin.platform.deployment.UsageReport
+import org.mulberrypin.runtime.Outcome
+import org.mulberrypin.runtime.ServiceClock
+import org.mulberrypin.schema.generated.FrozenUsage
+import org.mulberrypin.schema.generated.InstanceUsage
+import org.mulberrypin.schema.generated.TeamCount
+
+/** What the usage keeper needs from outside. */
+internal data class UsagePorts(
+    val store: RowStore,
+    val backends: BackendCalls,
+    val clock: ServiceClock,
+    val log: DecisionLog,
+    val hold: () -> LeaseHold?,
+    val tell: (UsageEvent) -> Unit,
+)
+
+/** Counts, freezes and reports usage windows. All functions run on the thread of the control duty. */
+internal class UsageKeeper(
+    private val identity: InstanceIdentity,
+    windowMilliseconds: Long,
+    private val ports: UsagePorts,
+) {
+    private var state = UsageWindows(
+        windowMilliseconds = windowMilliseconds,
+        firstWindow = ports.clock.readWallMilliseconds() / windowMilliseconds - EARLIER_WINDOWS,
+    )
+
+    fun handle(event: UsageEvent) {
+        val transition = decideUsage(state, event, ports.clock.readMilliseconds())
+        state = transition.state
+        transition.effects.forEach(::perform)
+    }
+
+    private fun perform(effect: UsageEffect) {
+        when (effect) {
+            is UsageEffect.WriteCounts -> writeCounts(effect)
+            is UsageEffect.Freeze -> freeze(effect.window)
+            is UsageEffect.Report -> report(effect)
+        }
+    }
+
+    private fun writeCounts(effect: UsageEffect.WriteCounts) {
+        val usage = InstanceUsage(identity.name, identity.incarnation, effect.counts)
+        val key = "${identity.name}/${identity.incarnation}"
+        val value = recordJson.encodeToString(InstanceUsage.serializer(), usage)
+        val row = RowWrite(StoreTables.USAGE, effect.window.toString(), key, value)
+        ports.store.transact(RowTransaction(writes = listOf(row))) { outcome ->
+            if (outcome is Outcome.Failure) {
+                ports.log.write(PART, "${effect.window}", "counts not written", "store", outcome.fault.toString())
+                ports.tell(UsageEvent.WriteFailed(effect.window))
+            }
+        }
+    }
+
+    private fun freeze(window: Long) {
+        ports.store.readRows(RowRange(StoreTables.USAGE, window.toString())) { outcome ->
+            when (outcome) {
+                is Outcome.Failure -> fail(window, outcome.fault.toString())
+                is Outcome.Success -> writeFrozen(window, sumCounts(outcome.value.rows.flatMap(::decodeCounts)))
+            }
+        }
+    }
+
+    private fun writeFrozen(
+        window: Long,
+        counts: List<TeamCount>,
+    ) {
+        val value = recordJson.encodeToString(FrozenUsage.serializer(), FrozenUsage(window, counts))
+        val transaction = RowTransaction(
+            conditions = listOf(RowCondition(StoreTables.FROZEN_USAGE, "", window.toString(), 0)),
+            writes = listOf(RowWrite(StoreTables.FROZEN_USAGE, "", window.toString(), value)),
+        )
+        ports.store.transact(transaction) { outcome ->
+            when (outcome) {
+                is Outcome.Failure -> fail(window, outcome.fault.toString())
+
+                is Outcome.Success -> when (val answer = outcome.value) {
+                    is TransactionAnswer.Applied -> {
+                        ports.tell(UsageEvent.Frozen(window, counts))
+                    }
+
+                    is TransactionAnswer.Conflict -> {
+                        val frozen = answer.rows.firstOrNull()?.let(::decodeFrozen)
+                        if (frozen ==
+                            null
+                        ) {
+                            fail(window, "the frozen row is not readable")
+                        } else {
+                            ports.tell(UsageEvent.Frozen(window, frozen.counts))
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    private fun report(effect: UsageEffect.Report) {
+        val hold = ports.hold() ?: return ports.tell(UsageEvent.StepFailed(effect.window))
+        val counts = effect.counts.associate { it.team to it.requests }
+        val inputs = "token=${hold.fencingNumber} counts=$counts"
+        ports.log.write(PART, "${effect.window}", "window reported", "platform", inputs)
+        ports.backends.reportUsage(UsageReport(effect.window, counts, identity.name, hold.fencingNumber)) { outcome ->
+            when {
+                outcome is Outcome.Failure -> {
+                    fail(effect.window, outcome.fault.toString())
+                }
+
+                outcome is Outcome.Success && outcome.value == OrderAnswer.DONE -> {
+                    ports.tell(UsageEvent.Reported(effect.window))
+                }
+
+                // Another holder acts; the window is its own to send.
+                else -> {
+                    fail(effect.window, "refused: $outcome")
+                }
+            }
+        }
+    }
+
+    private fun fail(
+        window: Long,
+        detail: String,
+    ) {
+        ports.log.write(PART, "$window", "window step failed", "platform", detail)
+        ports.tell(UsageEvent.StepFailed(window))
+    }
+
+    private companion object {
+        private const val PART = "usage"
+
+        /** Windows before the start that a new holder looks after, since the one before it may have died. */
+        private const val EARLIER_WINDOWS = 3L
+    }
+}
+
+private fun decodeCounts(row: StoredRow): List<TeamCount> =
+    try {
+        recordJson.decodeFromString(InstanceUsage.serializer(), row.value).counts
+    } catch (_: SerializationException) {
+        emptyList()
+    }
+
+private fun decodeFrozen(row: StoredRow): FrozenUsage? =
+    try {
+        recordJson.decodeFromString(FrozenUsage.serializer(), row.value)
+    } catch (_: SerializationException) {
+        null
+    }
