Read single rows with keys that a request line can carry; one owner for all jobs of a model

Ruled out: lost rows (the store had them), keys of other teams, and lookups that came too early.

Change: ranges end at the first printable character. All jobs of a model go to one live instance by hash; it loads a job that another instance accepted.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DecideTraffic.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DecideTraffic.kt
@@ -81,5 +81,6 @@
     continueRequests(nowMilliseconds)
         .andThen { it.breakSilentTasks(nowMilliseconds) }
         .andThen { it.continueJobs(nowMilliseconds, wallMilliseconds) }
+        .andThen { it.loadOwnJobs(nowMilliseconds) }
         .andThen { it.takeOverJobs(nowMilliseconds) }
         .andThen { it.dispatchTasks(nowMilliseconds) }
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunJobs.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunJobs.kt
@@ -26,7 +26,8 @@
         }
 
         else -> {
-            val owned = event.record.copy(owner = identity.name, ownerIncarnation = identity.incarnation)
+            val owner = ownerOf(event.record)
+            val owned = event.record.copy(owner = owner.name, ownerIncarnation = owner.incarnation)
             val store = TrafficEffect.StoreJob(event.request, owned, event.submission, event.lengthHints)
             Transition(this, listOf(store))
         }
@@ -40,7 +41,8 @@
     val seen = copy(records = records.put(event.record.id, KnownJob(event.record, event.version)))
     val loaded = TrafficEvent.JobLoaded(event.record, event.version, event.submission, event.lengthHints, emptyList())
     val accepted = listOf(TrafficEffect.AcceptJob(event.request))
-    val next = if (event.record.id in jobs) Transition(seen) else seen.loadJob(loaded, nowMilliseconds)
+    val isOwn = isOwn(event.record) && event.record.id !in jobs
+    val next = if (isOwn) seen.loadJob(loaded, nowMilliseconds) else Transition(seen)
     return next.copy(effects = accepted + next.effects)
 }
 
@@ -71,7 +73,10 @@
         identity.name,
         "version=${event.version} tasks=${job.tasks.size} listed=${job.listed}",
     )
-    val noted = Transition<TrafficState, TrafficEffect>(copy(jobs = jobs.put(id, job)), listOf(explanation))
+    val noted = Transition<TrafficState, TrafficEffect>(
+        copy(jobs = jobs.put(id, job), loading = loading.remove(id)),
+        listOf(explanation),
+    )
     return noted.andThen { it.writeResults(id, nowMilliseconds) }.andThen { it.dispatchTasks(nowMilliseconds) }
 }
 
@@ -98,6 +103,40 @@
 internal fun TrafficState.isOwn(record: JobRecord): Boolean =
     record.owner == identity.name && record.ownerIncarnation == identity.incarnation
 
+/** Loads a job that this instance owns and does not run yet, unless it is being loaded. */
+private fun TrafficState.loadOwn(
+    record: JobRecord,
+    nowMilliseconds: Long,
+): Transition<TrafficState, TrafficEffect> {
+    val asked = loading[record.id] ?: Long.MIN_VALUE / 2
+    val isOpen = isOwn(record) && !record.ended && !record.complete && record.id !in jobs
+    if (!isOpen || nowMilliseconds - asked < RELOAD_REPEAT_MILLISECONDS) return Transition(this)
+    return Transition(
+        copy(loading = loading.put(record.id, nowMilliseconds)),
+        listOf(TrafficEffect.ReloadJob(record)),
+    )
+}
+
+/** Loads the jobs that this instance owns and does not run, such as those whose loading failed. */
+internal fun TrafficState.loadOwnJobs(nowMilliseconds: Long): Transition<TrafficState, TrafficEffect> {
+    var result = Transition<TrafficState, TrafficEffect>(this)
+    if (draining) return result
+    records.values.filter { isOwn(it.record) }.forEach { known ->
+        result = result.andThen { it.loadOwn(known.record, nowMilliseconds) }
+    }
+    return result
+}
+
+/**
+ * The instance that runs a new job. All jobs of a model go to one instance, which then knows what each engine of the
+ * model has in hand and keeps few connections to it.
+ */
+private fun TrafficState.ownerOf(record: JobRecord): LiveInstance =
+    heirOf(record) ?: LiveInstance(identity.name, identity.incarnation)
+
+private fun TrafficState.heirOf(record: JobRecord): LiveInstance? =
+    liveInstances.maxByOrNull { mix(mix(0, record.model), it.name) }
+
 /** Stops running a job; its open connections to engines are closed. */
 internal fun TrafficState.dropJob(
     id: String,
@@ -141,7 +180,7 @@
     val known = records[row.id]
     if (known != null && known.version >= row.version) return Transition(this)
     val seen = copy(records = records.put(row.id, KnownJob(record, row.version)))
-    val job = jobs[row.id] ?: return Transition(seen)
+    val job = jobs[row.id] ?: return seen.loadOwn(record, nowMilliseconds)
     return when {
         record.ended || !isOwn(record) -> {
             seen.dropJob(row.id, "ended=${record.ended} owner=${record.owner}")
@@ -264,7 +303,7 @@
     if (liveInstances.none { it.name == identity.name }) return Transition(this)
     val orphans = records.values.filter { known ->
         val record = known.record
-        !record.ended && !record.complete && !isOwn(record) && isOrphan(record) && isHeir(record.id)
+        !record.ended && !record.complete && !isOwn(record) && isOrphan(record) && heirOf(record)?.name == identity.name
     }
     if (orphans.isEmpty()) return Transition(this)
     return Transition(
@@ -283,11 +322,6 @@
 private fun TrafficState.isOrphan(record: JobRecord): Boolean =
     liveInstances.none { it.name == record.owner && it.incarnation == record.ownerIncarnation }
 
-private fun TrafficState.isHeir(job: String): Boolean {
-    val heir = liveInstances.maxByOrNull { mix(mix(0, job), it.name) }
-    return heir?.name == identity.name
-}
-
 internal fun TrafficState.releaseJobs(): Transition<TrafficState, TrafficEffect> {
     var result = Transition<TrafficState, TrafficEffect>(this)
     for (job in jobs.values) {
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficState.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficState.kt
@@ -11,6 +11,7 @@
  * @property requests requests of callers and scoring calls that are not answered
  * @property records batch jobs of all instances as the store last showed them
  * @property jobs batch jobs that this instance runs
+ * @property loading jobs of this instance that are being loaded, with the time at which that began
  * @property liveInstances instances whose heartbeats are seen
  * @property nextInternal number of the next request that the instance itself makes; counts down, so that it never
  * meets a number of the front end
@@ -22,6 +23,7 @@
     val requests: PersistentMap<Long, ForwardedRequest> = persistentMapOf(),
     val records: PersistentMap<String, KnownJob> = persistentMapOf(),
     val jobs: PersistentMap<String, RunningJob> = persistentMapOf(),
+    val loading: PersistentMap<String, Long> = persistentMapOf(),
     val liveInstances: List<LiveInstance> = emptyList(),
     val draining: Boolean = false,
     val nextInternal: Long = -1,
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/FollowTable.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/FollowTable.kt
@@ -74,7 +74,7 @@
     val first = firstVersion ?: page.version
     val next = copy(rows = read, firstVersion = first, question = 0, failures = 0)
     return when {
-        page.more && page.rows.isNotEmpty() -> next.copy(fromKey = page.rows.last().key + FIRST_CHARACTER)
+        page.more && page.rows.isNotEmpty() -> next.copy(fromKey = page.rows.last().key + NEXT_CHARACTER)
         unread.size > 1 -> next.copy(unread = unread.drop(1), fromKey = "")
         else -> next.copy(unread = emptyList(), fromKey = "", version = first)
     }
@@ -126,4 +126,6 @@
 
 /** Pause after a failed call, in milliseconds; twenty times the store's usual answer. */
 private const val FAILURE_PAUSE_MILLISECONDS = 80L
-private const val FIRST_CHARACTER = '\u0000'
+
+/** The first printable character; no key goes on with a smaller one. */
+private const val NEXT_CHARACTER = '!'
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/JobStore.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/JobStore.kt
@@ -52,7 +52,7 @@
         job: String,
         answer: Answer<StoredJob?>,
     ) {
-        val range = RowRange(StoreTables.JOBS, partitionOf(job), job, job + FIRST_CHARACTER, limit = 1)
+        val range = RowRange(StoreTables.JOBS, partitionOf(job), job, job + NEXT_CHARACTER, limit = 1)
         store.readRows(range) { page ->
             answer(
                 page.map { found ->
@@ -192,4 +192,6 @@
 
 /** Rows of one reading of results; at 6 KB a result, 40 of them stay under the largest answer of a trainer. */
 private const val RESULT_ROWS = 40
-private const val FIRST_CHARACTER = '\u0000'
+
+/** The first printable character; no key goes on with a smaller one. */
+private const val NEXT_CHARACTER = '!'
