--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
@@ -19,9 +19,15 @@
 /**
  * A running entry instance.
  *
+ * @property callerPort port at which callers are served
+ * @property isReady true while the instance takes work
+ * @property kill ends all threads at once, as a crash does
  * @property drainAndStop stops the instance; callers are asked to leave and jobs are given to other instances first
  */
 public data class DeploymentInstance(
+    val callerPort: Int,
+    val isReady: () -> Boolean,
+    val kill: () -> Unit,
     val drainAndStop: () -> Unit,
 )
 
@@ -58,21 +64,20 @@
         inputs = "incarnation=${identity.incarnation} store=${settings.storeAddress}",
     )
     val shutdown = DeploymentShutdown(settings.graceMilliseconds, clock, readiness, traffic, control)
-    return DeploymentInstance {
-        log.write("instance", identity.name, "stopping")
-        shutdown.drain()
-        log.write(
-            "instance",
-            identity.name,
-            "stopped",
-            inputs = "underWay=${traffic.underWay} linesLeftOut=${log.droppedLines}",
-        )
+    val stop = {
         server.stop()
         follow.stop()
         control.stop()
         traffic.stop()
         log.stop()
     }
+    return DeploymentInstance(server.activeLocalPort(), readiness::isReady, stop) {
+        log.write("instance", identity.name, "stopping")
+        shutdown.drain()
+        val inputs = "underWay=${traffic.underWay} linesLeftOut=${log.droppedLines}"
+        log.write("instance", identity.name, "stopped", inputs = inputs)
+        stop()
+    }
 }
 
 /** What makes an instance ready: a configuration, a list of backend servers, and no shutdown. */
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/FollowDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/FollowDuty.kt
@@ -194,8 +194,10 @@
         before: FollowedTable,
         after: FollowedTable,
     ) {
-        val changed = after.rows.values.filter { before.rows[it.partition to it.key]?.version != it.version }
-        val removed = before.rows.values.filter { it.partition to it.key !in after.rows }
+        // Rows that were read before the table was complete have not been handed on yet.
+        val handedOn = if (before.version == null) emptyMap() else before.rows
+        val changed = after.rows.values.filter { handedOn[it.partition to it.key]?.version != it.version }
+        val removed = handedOn.values.filter { it.partition to it.key !in after.rows }
         val rows = changed.mapNotNull { row -> decodeJob(row)?.let { JobRow(row.key, it, row.version) } } +
             removed.map { JobRow(it.key, null, it.version) }
         if (rows.isNotEmpty()) outlets.onJobs(rows)
