--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/instances/WatchInstances.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/instances/WatchInstances.kt
@@ -18,7 +18,7 @@
     val unchangedReadings: Int,
 )
 
-/** Takes a reading of the whole table. Only readings that succeeded count, so that an outage of the store kills nobody. */
+/** Takes a reading of the whole table. Only readings that succeeded count: an outage of the store kills nobody. */
 public fun InstanceWatch.read(heartbeats: List<InstanceHeartbeat>): InstanceWatch =
     InstanceWatch(
         heartbeats.associate { heartbeat ->
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DecideTraffic.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DecideTraffic.kt
@@ -20,27 +20,51 @@
     when (event) {
         is TrafficEvent.ConfigurationChanged -> Transition(state.copy(routing = routingTableOf(event.configuration)))
         is TrafficEvent.BackendsChanged -> state.acceptBackends(event, nowMilliseconds)
-        is TrafficEvent.RequestArrived -> state.acceptRequest(event, nowMilliseconds)
-        is TrafficEvent.CallerLeft -> state.requests[event.request]?.let(state::acceptDeparture) ?: Transition(state)
-        is TrafficEvent.Answered -> state.acceptAnswer(event, nowMilliseconds)
-        is TrafficEvent.Broke -> state.acceptBreak(event, nowMilliseconds)
-        is TrafficEvent.JobSubmitted -> state.submitJob(event)
-        is TrafficEvent.JobStored -> state.acceptStoredJob(event, nowMilliseconds)
-        is TrafficEvent.JobRowsSeen -> state.acceptJobRows(event.rows, nowMilliseconds)
-        is TrafficEvent.JobLoaded -> state.loadJob(event, nowMilliseconds)
-        is TrafficEvent.JobLoadFailed -> state.acceptLoadFailure(event)
-        is TrafficEvent.ResultsWritten -> state.acceptWritten(event, nowMilliseconds)
-        is TrafficEvent.ResultsNotWritten -> state.acceptNotWritten(event, nowMilliseconds)
-        is TrafficEvent.TaskAnswered -> state.acceptTaskAnswer(event, nowMilliseconds)
-        is TrafficEvent.TaskEventsArrived -> state.acceptEvents(event, nowMilliseconds)
-        is TrafficEvent.TaskEnded -> state.acceptTaskEnd(event, nowMilliseconds).dispatching(nowMilliseconds)
-        is TrafficEvent.TaskBroke -> state.acceptTaskBreak(event, nowMilliseconds).dispatching(nowMilliseconds)
         is TrafficEvent.InstancesSeen -> Transition(state.copy(liveInstances = event.live))
+        is TrafficEvent.RequestEvent -> state.decideRequest(event, nowMilliseconds)
+        is TrafficEvent.JobEvent -> state.decideJob(event, nowMilliseconds)
+        is TrafficEvent.TaskStreamEvent -> state.decideTask(event, nowMilliseconds)
         TrafficEvent.DrainStarted -> Transition(state.copy(draining = true))
         TrafficEvent.JobsReleased -> state.releaseJobs()
         TrafficEvent.Ticked -> state.tick(nowMilliseconds, wallMilliseconds)
     }
 
+private fun TrafficState.decideRequest(
+    event: TrafficEvent.RequestEvent,
+    nowMilliseconds: Long,
+): Transition<TrafficState, TrafficEffect> =
+    when (event) {
+        is TrafficEvent.RequestArrived -> acceptRequest(event, nowMilliseconds)
+        is TrafficEvent.CallerLeft -> requests[event.request]?.let(::acceptDeparture) ?: Transition(this)
+        is TrafficEvent.Answered -> acceptAnswer(event, nowMilliseconds)
+        is TrafficEvent.Broke -> acceptBreak(event, nowMilliseconds)
+    }
+
+private fun TrafficState.decideJob(
+    event: TrafficEvent.JobEvent,
+    nowMilliseconds: Long,
+): Transition<TrafficState, TrafficEffect> =
+    when (event) {
+        is TrafficEvent.JobSubmitted -> submitJob(event)
+        is TrafficEvent.JobStored -> acceptStoredJob(event, nowMilliseconds)
+        is TrafficEvent.JobRowsSeen -> acceptJobRows(event.rows, nowMilliseconds)
+        is TrafficEvent.JobLoaded -> loadJob(event, nowMilliseconds)
+        is TrafficEvent.JobLoadFailed -> acceptLoadFailure(event)
+        is TrafficEvent.ResultsWritten -> acceptWritten(event, nowMilliseconds)
+        is TrafficEvent.ResultsNotWritten -> acceptNotWritten(event, nowMilliseconds)
+    }
+
+private fun TrafficState.decideTask(
+    event: TrafficEvent.TaskStreamEvent,
+    nowMilliseconds: Long,
+): Transition<TrafficState, TrafficEffect> =
+    when (event) {
+        is TrafficEvent.TaskAnswered -> acceptTaskAnswer(event, nowMilliseconds)
+        is TrafficEvent.TaskEventsArrived -> acceptEvents(event, nowMilliseconds)
+        is TrafficEvent.TaskEnded -> acceptTaskEnd(event, nowMilliseconds).dispatching(nowMilliseconds)
+        is TrafficEvent.TaskBroke -> acceptTaskBreak(event, nowMilliseconds).dispatching(nowMilliseconds)
+    }
+
 private fun Transition<TrafficState, TrafficEffect>.dispatching(
     nowMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> = andThen { it.dispatchTasks(nowMilliseconds) }
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardRequests.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardRequests.kt
@@ -179,7 +179,7 @@
             val errors = idle.errors + if (event.status == INTERNAL_ERROR) 1 else 0
             val ran = idle.copy(mayHaveRun = true, errors = errors)
             val noted = copy(backends = reported).counted(ran)
-            noted.andThen { it.retryAfterError(ran, event, nowMilliseconds) }
+            noted.andThen { it.retryAfterError(ran.copy(isCounted = true), event, nowMilliseconds) }
         }
 
         else -> {
@@ -195,12 +195,11 @@
     nowMilliseconds: Long,
 ): Backend = if (load == null) this else copy(load = load, loadMilliseconds = nowMilliseconds)
 
-/** Counts the request when an attempt of it has run for the first time. */
-private fun TrafficState.counted(request: ForwardedRequest): Transition<TrafficState, TrafficEffect> {
-    val isFirst = requests[request.request]?.mayHaveRun == false
-    val team = request.team.takeIf { isFirst }
-    val kept = if (request.request in requests) copy(requests = requests.put(request.request, request)) else this
-    return Transition(kept, listOfNotNull(team?.let(TrafficEffect::CountUsage)))
+/** Counts the request as usage of its team, unless it is counted already. */
+internal fun TrafficState.counted(request: ForwardedRequest): Transition<TrafficState, TrafficEffect> {
+    val isKnown = requests[request.request]?.isCounted ?: true
+    val kept = copy(requests = requests.put(request.request, request.copy(isCounted = true)))
+    return Transition(kept, listOfNotNull(request.team?.takeIf { !isKnown }?.let(TrafficEffect::CountUsage)))
 }
 
 private fun TrafficState.retryAfterError(
@@ -257,147 +256,9 @@
         .retryOrGiveUp(idle, event.detail, nowMilliseconds)
 }
 
-private fun canRepeat(request: ForwardedRequest): Boolean {
-    val mayRepeat = request.route.kind == RequestKind.IDEMPOTENT || !request.mayHaveRun
-    return mayRepeat && request.attempt < request.route.attemptLimit
-}
-
-private fun TrafficState.retryOrGiveUp(
-    request: ForwardedRequest,
-    detail: String,
-    nowMilliseconds: Long,
-): Transition<TrafficState, TrafficEffect> {
-    val noted = Transition<TrafficState, TrafficEffect>(
-        copy(requests = requests.put(request.request, request)),
-        listOf(
-            TrafficEffect.Explain(request.id, "attempt failed", request.tried.lastOrNull().orEmpty(), detail),
-        ),
-    )
-    if (!canRepeat(request)) return noted.andThen { it.giveUp(request, detail, nowMilliseconds) }
-    return noted.andThen { state ->
-        val sent = state.sendRequest(request, nowMilliseconds)
-        if (sent.effects.isNotEmpty()) sent else state.waitOrGiveUp(request, detail, nowMilliseconds)
-    }
-}
-
-/** A request that no backend server can take right now waits for a part of its objective. */
-private fun TrafficState.waitOrGiveUp(
-    request: ForwardedRequest,
-    detail: String,
-    nowMilliseconds: Long,
-): Transition<TrafficState, TrafficEffect> {
-    val waited = nowMilliseconds - request.arrivedMilliseconds
-    val isPatient = request.tried.isEmpty() && waited < request.route.objectiveMilliseconds / WAITING_PART
-    return if (isPatient) Transition(this) else giveUp(request, detail, nowMilliseconds)
-}
-
-/** Ends a request without the answer of a backend server. */
-internal fun TrafficState.giveUp(
-    request: ForwardedRequest,
-    detail: String,
-    nowMilliseconds: Long,
-): Transition<TrafficState, TrafficEffect> {
-    val done = copy(requests = requests.remove(request.request))
-    val origin = request.origin
-    if (origin is Origin.Scoring) return done.failScoring(origin, request, detail, nowMilliseconds)
-    val isOver = nowMilliseconds >= request.deadlineMilliseconds
-    val status = when {
-        !request.mayHaveRun -> UNAVAILABLE
-        isOver -> GATEWAY_TIMEOUT
-        else -> BAD_GATEWAY
-    }
-    val inputs = "$detail; attempts=${request.attempt} mayHaveRun=${request.mayHaveRun} " +
-        "milliseconds=${nowMilliseconds - request.arrivedMilliseconds}"
-    return Transition(
-        done,
-        listOf(
-            TrafficEffect.Explain(request.id, "given up $status", identity.name, inputs),
-            TrafficEffect.Refuse(request.request, status, detail),
-        ),
-    )
-}
-
-internal fun TrafficState.acceptDeparture(request: ForwardedRequest): Transition<TrafficState, TrafficEffect> {
-    val table = request.server?.let { backends.changed(it, Backend::released) } ?: backends
-    val next = copy(requests = requests.remove(request.request), backends = table)
-    val count = request.team.takeIf { request.server != null && !request.mayHaveRun }
-    return Transition(
-        next,
-        listOfNotNull(
-            count?.let(TrafficEffect::CountUsage),
-            TrafficEffect.Explain(request.id, "caller left", request.server.orEmpty(), "attempt=${request.attempt}"),
-            TrafficEffect.Cancel(request.request),
-        ),
-    )
-}
-
-/** Ends attempts and requests whose time is over, and sends those that wait. */
-internal fun TrafficState.continueRequests(nowMilliseconds: Long): Transition<TrafficState, TrafficEffect> {
-    var result = Transition<TrafficState, TrafficEffect>(this)
-    for (request in requests.values) {
-        result = result.andThen { it.continueRequest(request, nowMilliseconds) }
-    }
-    return result
-}
-
-private fun TrafficState.continueRequest(
-    request: ForwardedRequest,
-    nowMilliseconds: Long,
-): Transition<TrafficState, TrafficEffect> {
-    val server = request.server
-    val isOver = nowMilliseconds >= request.deadlineMilliseconds
-    return when {
-        server == null && isOver -> {
-            giveUp(request, "the deadline passed before a backend server was free", nowMilliseconds)
-        }
-
-        server == null -> {
-            val sent = sendRequest(request, nowMilliseconds)
-            if (sent.effects.isNotEmpty()) {
-                sent
-            } else {
-                waitOrGiveUp(
-                    request,
-                    "no backend server is known",
-                    nowMilliseconds,
-                )
-            }
-        }
-
-        isOver || nowMilliseconds >= request.attemptDeadlineMilliseconds -> {
-            val slow = copy(backends = backends.changed(server) { it.released().failed(nowMilliseconds) })
-            val idle = request.copy(server = null, mayHaveRun = true)
-            val cancelled = slow.counted(idle).let {
-                it.copy(
-                    effects =
-                        it.effects + TrafficEffect.Cancel(request.request),
-                )
-            }
-            val detail = "no answer from $server in time"
-            cancelled.andThen {
-                if (isOver) {
-                    it.giveUp(
-                        idle,
-                        detail,
-                        nowMilliseconds,
-                    )
-                } else {
-                    it.retryOrGiveUp(idle, detail, nowMilliseconds)
-                }
-            }
-        }
-
-        else -> {
-            Transition(this)
-        }
-    }
-}
-
 internal const val UNAVAILABLE = 503
 internal const val NOT_FOUND = 404
 internal const val UNAUTHORIZED = 401
-private const val BAD_GATEWAY = 502
-private const val GATEWAY_TIMEOUT = 504
 private const val INTERNAL_ERROR = 500
 private const val SERVER_ERRORS = 500
 private const val REDIRECTIONS = 300
@@ -407,6 +268,3 @@
 
 /** Time for the call that scores a task, in milliseconds; twenty times its usual work. */
 private const val SCORING_MILLISECONDS = 3_000L
-
-/** A refusal within this part of the objective leaves the caller time for another attempt elsewhere. */
-private const val WAITING_PART = 5
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardedRequest.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardedRequest.kt
@@ -23,6 +23,7 @@
  * @property server backend server of the current attempt; null while the request waits for one
  * @property tried backend servers that have had the request
  * @property mayHaveRun true once an attempt may have begun to run
+ * @property isCounted true once the request is counted as usage of its team
  * @property errors answers of status 500
  */
 public data class ForwardedRequest(
@@ -39,5 +40,6 @@
     val attemptDeadlineMilliseconds: Long = 0,
     val tried: Set<String> = emptySet(),
     val mayHaveRun: Boolean = false,
+    val isCounted: Boolean = false,
     val errors: Int = 0,
 )
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunJobs.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunJobs.kt
@@ -173,26 +173,46 @@
     nowMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> {
     val record = row.record
-    if (record == null) {
-        val dropped = dropJob(row.id, "removed")
-        return dropped.copy(state = dropped.state.copy(records = dropped.state.records.remove(row.id)))
+    val isOld = (records[row.id]?.version ?: 0) >= row.version
+    return when {
+        record == null -> forgetJob(row.id)
+
+        isOld -> Transition(this)
+
+        else -> copy(
+            records = records.put(row.id, KnownJob(record, row.version)),
+        ).follow(record, row.version, nowMilliseconds)
     }
-    val known = records[row.id]
-    if (known != null && known.version >= row.version) return Transition(this)
-    val seen = copy(records = records.put(row.id, KnownJob(record, row.version)))
-    val job = jobs[row.id] ?: return seen.loadOwn(record, nowMilliseconds)
+}
+
+private fun TrafficState.forgetJob(id: String): Transition<TrafficState, TrafficEffect> {
+    val dropped = dropJob(id, "removed")
+    return dropped.copy(state = dropped.state.copy(records = dropped.state.records.remove(id)))
+}
+
+/** Starts, stops or goes on with a job as its row says. */
+private fun TrafficState.follow(
+    record: JobRecord,
+    version: Long,
+    nowMilliseconds: Long,
+): Transition<TrafficState, TrafficEffect> {
+    val job = jobs[record.id]
     return when {
+        job == null -> {
+            loadOwn(record, nowMilliseconds)
+        }
+
         record.ended || !isOwn(record) -> {
-            seen.dropJob(row.id, "ended=${record.ended} owner=${record.owner}")
+            dropJob(record.id, "ended=${record.ended} owner=${record.owner}")
         }
 
         job.writing > 0 || job.reloading -> {
-            Transition(seen)
+            Transition(this)
         }
 
         else -> {
-            val current = job.copy(record = record, version = maxOf(job.version, row.version))
-            seen.copy(jobs = seen.jobs.put(row.id, current)).writeResults(row.id, nowMilliseconds)
+            val current = job.copy(record = record, version = maxOf(job.version, version))
+            copy(jobs = jobs.put(record.id, current)).writeResults(record.id, nowMilliseconds)
         }
     }
 }
@@ -281,30 +301,31 @@
     nowMilliseconds: Long,
     wallMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> {
-    val job = jobs[id] ?: return Transition(this)
-    val route = routing?.findRoute(job.record.host, job.record.path) ?: return Transition(this)
-    val age = wallMilliseconds - job.record.submittedWallMilliseconds
-    if (route.taskExpiryMilliseconds == 0L || age < route.taskExpiryMilliseconds + EXPIRY_SLACK_MILLISECONDS) {
-        return Transition(this)
-    }
     var result = Transition<TrafficState, TrafficEffect>(this)
+    val job = jobs[id]?.takeIf { isExpired(it, wallMilliseconds) } ?: return result
     job.tasks.values.filter { it.phase == TaskPhase.WAITING }.forEach { task ->
         result = result.andThen { state ->
-            val current = state.jobs[id] ?: return@andThen Transition(state)
-            state.finishTask(current, task, failed(task), nowMilliseconds)
+            val current = state.jobs[id]
+            if (current == null) Transition(state) else state.finishTask(current, task, failed(task), nowMilliseconds)
         }
     }
     return result
 }
 
+private fun TrafficState.isExpired(
+    job: RunningJob,
+    wallMilliseconds: Long,
+): Boolean {
+    val expiry = routing?.findRoute(job.record.host, job.record.path)?.taskExpiryMilliseconds ?: 0L
+    val age = wallMilliseconds - job.record.submittedWallMilliseconds
+    return expiry > 0 && age >= expiry + EXPIRY_SLACK_MILLISECONDS
+}
+
 /** Takes over jobs whose owner is gone and for which this instance is the next. */
 internal fun TrafficState.takeOverJobs(nowMilliseconds: Long): Transition<TrafficState, TrafficEffect> {
-    if (draining || nowMilliseconds - lastTakeoverMilliseconds < TAKEOVER_PAUSE_MILLISECONDS) return Transition(this)
-    if (liveInstances.none { it.name == identity.name }) return Transition(this)
-    val orphans = records.values.filter { known ->
-        val record = known.record
-        !record.ended && !record.complete && !isOwn(record) && isOrphan(record) && heirOf(record)?.name == identity.name
-    }
+    val isEarly = nowMilliseconds - lastTakeoverMilliseconds < TAKEOVER_PAUSE_MILLISECONDS
+    if (draining || isEarly || liveInstances.none { it.name == identity.name }) return Transition(this)
+    val orphans = records.values.filter { isOrphan(it.record) && heirOf(it.record)?.name == identity.name }
     if (orphans.isEmpty()) return Transition(this)
     return Transition(
         copy(lastTakeoverMilliseconds = nowMilliseconds),
@@ -320,7 +341,8 @@
 }
 
 private fun TrafficState.isOrphan(record: JobRecord): Boolean =
-    liveInstances.none { it.name == record.owner && it.incarnation == record.ownerIncarnation }
+    !record.ended && !record.complete && !isOwn(record) &&
+        liveInstances.none { it.name == record.owner && it.incarnation == record.ownerIncarnation }
 
 internal fun TrafficState.releaseJobs(): Transition<TrafficState, TrafficEffect> {
     var result = Transition<TrafficState, TrafficEffect>(this)
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
@@ -43,28 +43,49 @@
     val oldestFirst = jobs.values.sortedBy { it.record.submittedWallMilliseconds }
     for (job in oldestFirst) {
         for (id in job.order) {
-            val task = result.state.jobs[job.record.id]
-                ?.tasks
-                ?.get(id) ?: break
-            if (task.phase == TaskPhase.DONE || task.phase == TaskPhase.RUNNING) continue
-            if (task.notBeforeMilliseconds > nowMilliseconds) continue
-            result = result.andThen { it.dispatchTask(job.record.id, task, nowMilliseconds) }
+            result = result.andThen { it.dispatchIfDue(job.record.id, id, nowMilliseconds) }
         }
     }
     return result
 }
 
-private fun TrafficState.dispatchTask(
+private fun TrafficState.dispatchIfDue(
     jobId: String,
+    taskId: String,
+    nowMilliseconds: Long,
+): Transition<TrafficState, TrafficEffect> {
+    val job = jobs[jobId]
+    val task = job?.tasks?.get(taskId)
+    return when {
+        job == null || task == null || task.notBeforeMilliseconds > nowMilliseconds -> Transition(this)
+        task.phase == TaskPhase.SCORING -> scoreAgain(job, task, nowMilliseconds)
+        task.phase == TaskPhase.WAITING -> dispatchTask(job, task, nowMilliseconds)
+        else -> Transition(this)
+    }
+}
+
+private fun TrafficState.dispatchTask(
+    job: RunningJob,
     task: TaskProgress,
     nowMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> {
-    val job = jobs[jobId] ?: return Transition(this)
-    if (task.phase == TaskPhase.SCORING) return scoreAgain(job, task, nowMilliseconds)
     val table = routing ?: return Transition(this)
     val route = table.findRoute(job.record.host, task.task.path)
-        ?: return finishTask(job, task, failed(task), nowMilliseconds)
-    val chosen = chooseEngine(job, route, task, nowMilliseconds) ?: return Transition(this)
+    val chosen = route?.let { chooseEngine(job, it, task, nowMilliseconds) }
+    return when {
+        route == null -> finishTask(job, task, failed(task), nowMilliseconds)
+        chosen == null -> Transition(this)
+        else -> sendTask(job, task, chosen, nowMilliseconds)
+    }
+}
+
+private fun TrafficState.sendTask(
+    job: RunningJob,
+    task: TaskProgress,
+    chosen: Backend,
+    nowMilliseconds: Long,
+): Transition<TrafficState, TrafficEffect> {
+    val jobId = job.record.id
     val running = task.copy(
         phase = TaskPhase.RUNNING,
         attempt = task.attempt + 1,
@@ -140,29 +161,50 @@
     version: Long,
 ): Boolean = !route.singleWeightVersion || task.versions.all { it == version }
 
+/** Decides an event of a stream, unless it belongs to an earlier attempt. */
+private inline fun TrafficState.decideStream(
+    event: TrafficEvent.TaskStreamEvent,
+    decide: (RunningJob, TaskProgress) -> Transition<TrafficState, TrafficEffect>,
+): Transition<TrafficState, TrafficEffect> {
+    val job = jobs[event.job]
+    val task = job?.running(event.task, event.attempt)
+    return if (job == null || task == null) Transition(this) else decide(job, task)
+}
+
 internal fun TrafficState.acceptTaskAnswer(
     event: TrafficEvent.TaskAnswered,
     nowMilliseconds: Long,
-): Transition<TrafficState, TrafficEffect> {
-    val job = jobs[event.job] ?: return Transition(this)
-    val task = job.running(event.task, event.attempt) ?: return Transition(this)
-    val server = task.server.orEmpty()
-    if (event.status < REDIRECTIONS) {
-        val version = event.version ?: task.currentVersion
-        val isStale = version < job.submission.minimumVersion
-        val started = task.copy(currentVersion = version, heardMilliseconds = nowMilliseconds)
-        return if (isStale) {
-            breakTask(
-                job,
-                started,
-                "weights=$version are too old",
-                nowMilliseconds,
-                cancel = true,
-            )
+): Transition<TrafficState, TrafficEffect> =
+    decideStream(event) { job, task ->
+        if (event.status < REDIRECTIONS) {
+            acceptStreamStart(job, task, event, nowMilliseconds)
         } else {
-            Transition(withTask(job, started))
+            acceptTaskRefusal(job, task, event, nowMilliseconds)
         }
     }
+
+private fun TrafficState.acceptStreamStart(
+    job: RunningJob,
+    task: TaskProgress,
+    event: TrafficEvent.TaskAnswered,
+    nowMilliseconds: Long,
+): Transition<TrafficState, TrafficEffect> {
+    val version = event.version ?: task.currentVersion
+    val started = task.copy(currentVersion = version, heardMilliseconds = nowMilliseconds)
+    return if (version < job.submission.minimumVersion) {
+        breakTask(job, started, "weights=$version are too old", nowMilliseconds, cancel = true)
+    } else {
+        Transition(withTask(job, started))
+    }
+}
+
+private fun TrafficState.acceptTaskRefusal(
+    job: RunningJob,
+    task: TaskProgress,
+    event: TrafficEvent.TaskAnswered,
+    nowMilliseconds: Long,
+): Transition<TrafficState, TrafficEffect> {
+    val server = task.server.orEmpty()
     val detail = "status ${event.status}, notRun=${event.notRun}"
     val explanation = TrafficEffect.Explain(task.task.id, "attempt failed", server, detail)
     val freed = copy(backends = backends.changed(server) { it.released().full(nowMilliseconds) })
@@ -185,54 +227,59 @@
 internal fun TrafficState.acceptEvents(
     event: TrafficEvent.TaskEventsArrived,
     nowMilliseconds: Long,
-): Transition<TrafficState, TrafficEffect> {
-    val job = jobs[event.job] ?: return Transition(this)
-    var task = job.running(event.task, event.attempt) ?: return Transition(this)
-    for (part in event.events) {
-        if (part.id != task.lastEvent + 1) {
-            val detail = "event ${part.id} after event ${task.lastEvent}"
-            return breakTask(job, task, detail, nowMilliseconds, cancel = true)
+): Transition<TrafficState, TrafficEffect> =
+    decideStream(event) { job, before ->
+        val inOrder = event.events.withIndex().takeWhile { (index, part) -> part.id == before.lastEvent + 1 + index }
+        val task = inOrder.fold(before) { task, (_, part) -> task.withEvent(part) }
+        val stray = event.events.getOrNull(inOrder.size)
+        if (stray == null) {
+            Transition(withTask(job, task.copy(heardMilliseconds = nowMilliseconds)))
+        } else {
+            val detail = "event ${stray.id} after event ${task.lastEvent}"
+            breakTask(job, task, detail, nowMilliseconds, cancel = true)
         }
-        val version = part.version ?: task.currentVersion
-        task = task.copy(
-            lastEvent = part.id,
-            text = task.text.add(part.data),
-            versions = task.versions + version,
-            currentVersion = version,
-        )
     }
-    return Transition(withTask(job, task.copy(heardMilliseconds = nowMilliseconds)))
+
+private fun TaskProgress.withEvent(part: TaskEvent): TaskProgress {
+    val version = part.version ?: currentVersion
+    return copy(
+        lastEvent = part.id,
+        text = text.add(part.data),
+        versions = versions + version,
+        currentVersion = version,
+    )
 }
 
 internal fun TrafficState.acceptTaskEnd(
     event: TrafficEvent.TaskEnded,
     nowMilliseconds: Long,
+): Transition<TrafficState, TrafficEffect> =
+    decideStream(event) { job, task ->
+        if (task.lastEvent == 0L) {
+            breakTask(job, task, "the stream ended without an event", nowMilliseconds)
+        } else {
+            beginScoring(job, task, nowMilliseconds)
+        }
+    }
+
+private fun TrafficState.beginScoring(
+    job: RunningJob,
+    task: TaskProgress,
+    nowMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> {
-    val job = jobs[event.job] ?: return Transition(this)
-    val task = job.running(event.task, event.attempt) ?: return Transition(this)
-    if (task.lastEvent == 0L) return breakTask(job, task, "the stream ended without an event", nowMilliseconds)
     val freed = copy(backends = backends.changed(task.server.orEmpty()) { it.released().succeeded() })
     val scoring = task.copy(phase = TaskPhase.SCORING, notBeforeMilliseconds = 0)
-    val explanation = TrafficEffect.Explain(
-        task.task.id,
-        "text complete",
-        task.server.orEmpty(),
-        "events=${task.lastEvent} weights=${task.versions.sorted()} attempts=${task.attempt}",
-    )
-    val noted = Transition<TrafficState, TrafficEffect>(freed.withTask(job, scoring), listOf(explanation))
-    return noted.andThen { state ->
-        state.jobs[job.record.id]?.let { state.scoreAgain(it, scoring, nowMilliseconds) } ?: Transition(state)
-    }
+    val inputs = "events=${task.lastEvent} weights=${task.versions.sorted()} attempts=${task.attempt}"
+    val explanation = TrafficEffect.Explain(task.task.id, "text complete", task.server.orEmpty(), inputs)
+    return Transition<TrafficState, TrafficEffect>(freed.withTask(job, scoring), listOf(explanation))
+        .andThen { it.dispatchIfDue(job.record.id, task.task.id, nowMilliseconds) }
 }
 
 internal fun TrafficState.acceptTaskBreak(
     event: TrafficEvent.TaskBroke,
     nowMilliseconds: Long,
-): Transition<TrafficState, TrafficEffect> {
-    val job = jobs[event.job] ?: return Transition(this)
-    val task = job.running(event.task, event.attempt) ?: return Transition(this)
-    return breakTask(job, task, event.detail, nowMilliseconds)
-}
+): Transition<TrafficState, TrafficEffect> =
+    decideStream(event) { job, task -> breakTask(job, task, event.detail, nowMilliseconds) }
 
 /** Ends an attempt; the task goes on at another engine after the last event that arrived. */
 internal fun TrafficState.breakTask(
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEffect.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEffect.kt
@@ -7,6 +7,9 @@
 
 /** What the traffic duty carries out. */
 public sealed interface TrafficEffect {
+    /** Something to do for a batch job. */
+    public sealed interface JobEffect : TrafficEffect
+
     /** Hand a request to a backend server. */
     public data class Send(
         val request: Long,
@@ -41,7 +44,7 @@
         val request: Long,
         val id: String,
         val team: String?,
-    ) : TrafficEffect
+    ) : JobEffect
 
     /** Write a job to the store; the caller is answered once it is there. */
     public data class StoreJob(
@@ -49,34 +52,34 @@
         val record: JobRecord,
         val submission: JobSubmission,
         val lengthHints: Map<String, Long>,
-    ) : TrafficEffect
+    ) : JobEffect
 
     /** Tell a trainer that its job is accepted. */
     public data class AcceptJob(
         val request: Long,
-    ) : TrafficEffect
+    ) : JobEffect
 
     /** Make this instance the owner of a job, if its row still has [version], and load it. */
     public data class TakeOverJob(
         val record: JobRecord,
         val version: Long,
-    ) : TrafficEffect
+    ) : JobEffect
 
     /** Read the rows of a job again. */
     public data class ReloadJob(
         val record: JobRecord,
-    ) : TrafficEffect
+    ) : JobEffect
 
     /** Give up a job, so that another instance takes it over. */
     public data class ReleaseJob(
         val record: JobRecord,
         val version: Long,
-    ) : TrafficEffect
+    ) : JobEffect
 
     /** Write results. */
     public data class WriteResults(
         val batch: ResultBatch,
-    ) : TrafficEffect
+    ) : JobEffect
 
     /** Run a task at an engine, from the event after [lastEvent] on. */
     public data class RunTask(
@@ -88,13 +91,13 @@
         val host: String,
         val team: String,
         val lastEvent: Long,
-    ) : TrafficEffect
+    ) : JobEffect
 
     /** Close the connection of a task's current attempt. */
     public data class CancelTask(
         val job: String,
         val task: String,
-    ) : TrafficEffect
+    ) : JobEffect
 
     /** Count a request that began to run for a team. */
     public data class CountUsage(
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEvent.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEvent.kt
@@ -8,6 +8,19 @@
 
 /** What the traffic duty is told. */
 public sealed interface TrafficEvent {
+    /** Something happened to a request of a caller or to a scoring call. */
+    public sealed interface RequestEvent : TrafficEvent
+
+    /** Something happened to a batch job. */
+    public sealed interface JobEvent : TrafficEvent
+
+    /** Something happened to the stream of a task; [attempt] tells a late part of an earlier stream apart. */
+    public sealed interface TaskStreamEvent : TrafficEvent {
+        public val job: String
+        public val task: String
+        public val attempt: Int
+    }
+
     /** A configuration came into force. */
     public data class ConfigurationChanged(
         val configuration: ServingConfiguration,
@@ -31,12 +44,12 @@
         val path: String,
         val key: String?,
         val deadlineMilliseconds: Long?,
-    ) : TrafficEvent
+    ) : RequestEvent
 
     /** The caller of a request has gone. */
     public data class CallerLeft(
         val request: Long,
-    ) : TrafficEvent
+    ) : RequestEvent
 
     /**
      * A backend server answered a request.
@@ -52,7 +65,7 @@
         val signed: Boolean,
         val signature: String,
         val load: Int?,
-    ) : TrafficEvent
+    ) : RequestEvent
 
     /** An attempt broke off; [sent] is false when the backend server cannot have seen the request. */
     public data class Broke(
@@ -60,7 +73,7 @@
         val attempt: Int,
         val sent: Boolean,
         val detail: String,
-    ) : TrafficEvent
+    ) : RequestEvent
 
     /** A trainer submitted a job that was read and admitted by its route. */
     public data class JobSubmitted(
@@ -68,7 +81,7 @@
         val record: JobRecord,
         val submission: JobSubmission,
         val lengthHints: Map<String, Long>,
-    ) : TrafficEvent
+    ) : JobEvent
 
     /** The store has the job that was submitted with a request, under the version of its row. */
     public data class JobStored(
@@ -77,12 +90,12 @@
         val version: Long,
         val submission: JobSubmission,
         val lengthHints: Map<String, Long>,
-    ) : TrafficEvent
+    ) : JobEvent
 
     /** Rows of jobs as the store shows them; a null record marks a row that was removed. */
     public data class JobRowsSeen(
         val rows: List<JobRow>,
-    ) : TrafficEvent
+    ) : JobEvent
 
     /** A job of another instance was taken over, or a job's rows were read again. */
     public data class JobLoaded(
@@ -91,59 +104,59 @@
         val submission: JobSubmission,
         val lengthHints: Map<String, Long>,
         val listed: List<String>,
-    ) : TrafficEvent
+    ) : JobEvent
 
     /** A job could not be loaded. */
     public data class JobLoadFailed(
         val job: String,
         val detail: String,
-    ) : TrafficEvent
+    ) : JobEvent
 
     /** Results of a job were written. */
     public data class ResultsWritten(
         val job: String,
         val version: Long,
-    ) : TrafficEvent
+    ) : JobEvent
 
     /** Results of a job were not written, or may not have been. */
     public data class ResultsNotWritten(
         val job: String,
         val detail: String,
-    ) : TrafficEvent
+    ) : JobEvent
 
     /** An engine began to answer a task, or refused it. */
     public data class TaskAnswered(
-        val job: String,
-        val task: String,
-        val attempt: Int,
+        override val job: String,
+        override val task: String,
+        override val attempt: Int,
         val status: Int,
         val notRun: Boolean,
         val version: Long?,
-    ) : TrafficEvent
+    ) : TaskStreamEvent
 
     /** Events of a task arrived. */
     public data class TaskEventsArrived(
-        val job: String,
-        val task: String,
-        val attempt: Int,
+        override val job: String,
+        override val task: String,
+        override val attempt: Int,
         val events: List<TaskEvent>,
-    ) : TrafficEvent
+    ) : TaskStreamEvent
 
     /** The engine ended its stream properly. */
     public data class TaskEnded(
-        val job: String,
-        val task: String,
-        val attempt: Int,
-    ) : TrafficEvent
+        override val job: String,
+        override val task: String,
+        override val attempt: Int,
+    ) : TaskStreamEvent
 
     /** The stream of a task broke off. */
     public data class TaskBroke(
-        val job: String,
-        val task: String,
-        val attempt: Int,
+        override val job: String,
+        override val task: String,
+        override val attempt: Int,
         val sent: Boolean,
         val detail: String,
-    ) : TrafficEvent
+    ) : TaskStreamEvent
 
     /** The instances whose heartbeats are seen. */
     public data class InstancesSeen(
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/weights/DecideWeights.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/weights/DecideWeights.kt
@@ -38,18 +38,28 @@
     for (pool in pools) {
         val present = pool.engines.filter { !it.leaving }
         val models = assignModels(present, pool.models)
-        for (engine in present) {
-            val model = models[engine.id] ?: continue
-            val version = named[model] ?: continue
-            if (room <= 0 || engine.id in begun || versionOf(engine, model) >= version) continue
-            room--
-            begun[engine.id] = OrderUnderWay(model, version, nowMilliseconds)
+        val due = present
+            .filter { it.id !in open }
+            .mapNotNull { engine -> dueOrder(engine, models[engine.id], nowMilliseconds) }
+            .take(room.coerceAtLeast(0))
+        room -= due.size
+        due.forEach { (engine, order) ->
+            begun[engine.id] = order
             effects.add(WeightEffect.ReadReport(engine))
         }
     }
     return Transition(copy(underWay = begun), effects)
 }
 
+private fun WeightState.dueOrder(
+    engine: BackendServerEntry,
+    model: String?,
+    nowMilliseconds: Long,
+): Pair<BackendServerEntry, OrderUnderWay>? {
+    val version = model?.let(named::get) ?: return null
+    return if (versionOf(engine, model) >= version) null else engine to OrderUnderWay(model, version, nowMilliseconds)
+}
+
 private fun WeightState.isOver(
     id: String,
     order: OrderUnderWay,
--- a/decisions/src/test/kotlin/org/mulberrypin/decisions/traffic/ForwardRequestsTest.kt
+++ b/decisions/src/test/kotlin/org/mulberrypin/decisions/traffic/ForwardRequestsTest.kt
@@ -86,6 +86,15 @@
         expectThat(counted + world.all<TrafficEffect.CountUsage>().size).isEqualTo(1)
     }
 
+    @Test
+    fun `counts usage once when the first attempt broke off and the second was answered`() {
+        val world = world()
+        world.tell(arrival(1))
+        world.tell(TrafficEvent.Broke(1, world.single<TrafficEffect.Send>().attempt, sent = true, detail = "closed"))
+        world.tell(answer(world.single()))
+        expectThat(world.all<TrafficEffect.CountUsage>()).hasSize(1)
+    }
+
     @Test
     fun `gives the final answer at the route's timeout`() {
         val world = world(RequestKind.NON_IDEMPOTENT)
@@ -102,7 +111,10 @@
         world.tell(arrival(1))
         world.tell(TrafficEvent.CallerLeft(1))
         expectThat(world.all<TrafficEffect.Cancel>()).hasSize(1)
-        expectThat(world.state.backends.values.sumOf { it.inFlight }).isEqualTo(0)
+        expectThat(
+            world.state.backends.values
+                .sumOf { it.inFlight },
+        ).isEqualTo(0)
     }
 
     @Test
@@ -163,9 +175,15 @@
     history.open = null
     return when (step) {
         0 -> tell(answer(send)).also { history.runs++ }
+
         1 -> tell(answer(send, status = 500)).also { history.runs++ }
+
         2 -> tell(answer(send, status = 503, notRun = true))
-        3 -> tell(TrafficEvent.Broke(send.request, send.attempt, sent = true, detail = "closed")).also { history.runs++ }
+
+        3 -> tell(
+            TrafficEvent.Broke(send.request, send.attempt, sent = true, detail = "closed"),
+        ).also { history.runs++ }
+
         else -> tell(TrafficEvent.Broke(send.request, send.attempt, sent = false, detail = "refused"))
     }
 }
--- a/decisions/src/test/kotlin/org/mulberrypin/decisions/traffic/RunJobsTest.kt
+++ b/decisions/src/test/kotlin/org/mulberrypin/decisions/traffic/RunJobsTest.kt
@@ -59,7 +59,13 @@
         world.stream(run)
         world.tell(TrafficEvent.TaskEventsArrived(run.job, run.task.id, run.attempt, listOf(TaskEvent(5, "e5", null))))
         expectThat(world.all<TrafficEffect.CancelTask>()).hasSize(1)
-        expectThat(world.state.jobs.getValue(run.job).tasks.getValue(run.task.id).lastEvent).isEqualTo(3)
+        expectThat(
+            world.state.jobs
+                .getValue(run.job)
+                .tasks
+                .getValue(run.task.id)
+                .lastEvent,
+        ).isEqualTo(3)
     }
 
     @Test
@@ -70,14 +76,23 @@
         world.tell(TrafficEvent.TaskEventsArrived(run.job, run.task.id, run.attempt, listOf(TaskEvent(4, "e4", 2))))
         world.tell(TrafficEvent.TaskEnded(run.job, run.task.id, run.attempt))
         world.tell(answer(world.single()))
-        expectThat(world.single<TrafficEffect.WriteResults>().batch.results.single().versions).containsExactly(1, 2)
+        expectThat(
+            world
+                .single<TrafficEffect.WriteResults>()
+                .batch.results
+                .single()
+                .versions,
+        ).containsExactly(1, 2)
     }
 
     @Test
     fun `lists a task with the signature of its scoring call as score`() {
         val world = world()
         world.complete(world.startJob(1).single())
-        val result = world.single<TrafficEffect.WriteResults>().batch.results.single()
+        val result = world
+            .single<TrafficEffect.WriteResults>()
+            .batch.results
+            .single()
         expectThat(result.state).isEqualTo(TaskState.COMPLETED)
         expectThat(result.text).isEqualTo("e1\ne2\ne3")
         expectThat(result.score).isEqualTo("signature--1")
@@ -117,7 +132,11 @@
     fun `marks the job complete with its last results`() {
         val world = world()
         world.complete(world.startJob(1).single())
-        expectThat(world.single<TrafficEffect.WriteResults>().batch.record.complete).isTrue()
+        expectThat(
+            world
+                .single<TrafficEffect.WriteResults>()
+                .batch.record.complete,
+        ).isTrue()
     }
 
     @Test
@@ -127,7 +146,10 @@
         val row = JobRow("job-1", ownRecord(3).copy(ended = true), 11)
         world.tell(TrafficEvent.JobRowsSeen(listOf(row)))
         expectThat(world.all<TrafficEffect.CancelTask>()).hasSize(3)
-        expectThat(world.state.backends.values.sumOf { it.inFlight }).isEqualTo(0)
+        expectThat(
+            world.state.backends.values
+                .sumOf { it.inFlight },
+        ).isEqualTo(0)
     }
 
     @Test
@@ -143,7 +165,13 @@
         val world = world()
         val runs = world.startJob(2)
         world.tell(TrafficEvent.TaskAnswered("job-1", runs[0].task.id, 1, 422, notRun = false, version = null))
-        expectThat(world.single<TrafficEffect.WriteResults>().batch.results.single().state).isEqualTo(TaskState.FAILED)
+        expectThat(
+            world
+                .single<TrafficEffect.WriteResults>()
+                .batch.results
+                .single()
+                .state,
+        ).isEqualTo(TaskState.FAILED)
         world.tell(TrafficEvent.TaskAnswered("job-1", runs[1].task.id, 1, 500, notRun = false, version = null))
         world.now += 200
         world.tell(TrafficEvent.Ticked)
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/ControlDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/ControlDuty.kt
@@ -203,7 +203,7 @@
             model = effect.model,
             version = effect.version,
             holder = identity.name,
-            fencingToken = hold.fencingNumber,
+            fencingNumber = hold.fencingNumber,
             acceptedOrders = effect.acceptedOrders,
         )
         ports.backends.order(order) { outcome ->
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/JobShell.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/JobShell.kt
@@ -11,7 +11,6 @@
 import org.mulberrypin.runtime.Fault
 import org.mulberrypin.runtime.FaultKind
 import org.mulberrypin.runtime.Outcome
-import org.mulberrypin.runtime.ServiceClock
 import org.mulberrypin.schema.generated.JobRecord
 import org.mulberrypin.schema.generated.JobSubmission
 
@@ -20,7 +19,6 @@
     private val jobs: JobStore,
     private val store: RowStore,
     private val identity: InstanceIdentity,
-    private val clock: ServiceClock,
     private val tell: (TrafficEvent) -> Unit,
 ) {
     private var objects = 0L
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficCounters.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficCounters.kt
@@ -13,6 +13,8 @@
     val attempts: Counter,
     val jobs: AtomicInteger,
     val tasks: AtomicInteger,
+    val requestLatency: Timer,
+    val readLatency: Timer,
 )
 
 /** Registers the counters of the traffic duty. */
@@ -23,17 +25,24 @@
         attempts = registry.counter("mulberrypin_attempts"),
         jobs = registry.gauge("mulberrypin_jobs_running", AtomicInteger()),
         tasks = registry.gauge("mulberrypin_tasks_running", AtomicInteger()),
+        requestLatency = latencyHistogram(registry, "mulberrypin_request_latency"),
+        readLatency = latencyHistogram(registry, "mulberrypin_job_call_latency"),
     )
 
-/** Registers a histogram of latencies. */
-internal fun latencyHistogram(
+/** Registers a histogram of latencies, from a few milliseconds to the longest time that a caller waits. */
+private fun latencyHistogram(
     registry: MeterRegistry,
     name: String,
 ): Timer =
     Timer
         .builder(name)
-        .serviceLevelObjectives(*latencyBuckets)
+        .publishPercentileHistogram()
+        .minimumExpectedValue(Duration.ofMillis(SHORTEST_MILLISECONDS))
+        .maximumExpectedValue(Duration.ofMillis(LONGEST_MILLISECONDS))
         .register(registry)
 
-private val latencyBuckets =
-    longArrayOf(5, 20, 50, 100, 150, 300, 500, 1_000, 2_000, 5_000, 10_000).map(Duration::ofMillis).toTypedArray()
+/** Smallest latency that the histograms tell apart, in milliseconds; the round trip between failure domains. */
+private const val SHORTEST_MILLISECONDS = 1L
+
+/** Largest latency that the histograms tell apart, in milliseconds; the longest timeout of a route. */
+private const val LONGEST_MILLISECONDS = 12_000L
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
@@ -1,6 +1,7 @@
 package org.mulberrypin.service.deployment
 
 import org.mulberrypin.decisions.traffic.InstanceIdentity
+import org.mulberrypin.decisions.traffic.TaskPhase
 import org.mulberrypin.decisions.traffic.TrafficEffect
 import org.mulberrypin.decisions.traffic.TrafficEvent
 import org.mulberrypin.decisions.traffic.TrafficState
@@ -24,6 +25,7 @@
 import org.mulberrypin.schema.generated.JobRecord
 import org.mulberrypin.schema.generated.JobSubmission
 import org.mulberrypin.schema.generated.ScoringCall
+import java.time.Duration
 import java.util.Base64
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
@@ -49,11 +51,12 @@
     private val runningTasks = AtomicInteger()
     private var state = TrafficState(identity)
     private val calls = HashMap<Long, CallerCall>()
+    private val arrivals = HashMap<Long, Long>()
     private val answers = HashMap<Long, BackendAnswer>()
     private val cancelRequest = HashMap<Long, () -> Unit>()
     private val cancelTask = HashMap<Pair<String, String>, () -> Unit>()
     private val jobStore = JobStore(ports.store)
-    private val jobShell = JobShell(jobStore, ports.store, identity, ports.clock, ::tell)
+    private val jobShell = JobShell(jobStore, ports.store, identity, ::tell)
     private val jobCalls = JobCalls(jobStore, ports, { state }, ::offer, ::reply)
     private var duty: Duty? = null
 
@@ -111,17 +114,28 @@
     private fun tick() {
         decide(TrafficEvent.Ticked)
         jobCalls.continueWaiting(calls)
+        forgetEnded()
         openCalls.set(calls.size)
         runningTasks.set(cancelTask.size)
         ports.counters.jobs.set(state.jobs.size)
         ports.counters.tasks.set(cancelTask.size)
     }
 
+    /** Drops what is kept of requests and streams that have ended. */
+    private fun forgetEnded() {
+        cancelRequest.keys.removeIf { state.requests[it]?.server == null }
+        cancelTask.keys.removeIf { (job, task) ->
+            val progress = state.jobs[job]?.tasks?.get(task)
+            progress?.phase != TaskPhase.RUNNING
+        }
+    }
+
     private fun accept(
         number: Long,
         call: CallerCall,
     ) {
         calls[number] = call
+        arrivals[number] = ports.clock.readMilliseconds()
         if (call.target is CallTarget.Routed) {
             ports.counters.requests.increment()
             val event = TrafficEvent.RequestArrived(
@@ -165,46 +179,55 @@
         val transition = decideTraffic(state, event, now, ports.clock.readWallMilliseconds())
         state = transition.state
         transition.effects.forEach(::perform)
-        if (event is TrafficEvent.CallerLeft) calls.remove(event.request)
+        if (event is TrafficEvent.CallerLeft) {
+            calls.remove(event.request)
+            arrivals.remove(event.request)
+        }
     }
 
     private fun perform(effect: TrafficEffect) {
         when (effect) {
-            is TrafficEffect.Send -> send(effect)
+            is TrafficEffect.Send -> {
+                send(effect)
+            }
 
-            is TrafficEffect.Cancel -> cancelRequest.remove(effect.request)?.invoke()
+            is TrafficEffect.Cancel -> {
+                cancelRequest.remove(effect.request)?.invoke()
+            }
 
-            is TrafficEffect.Relay -> answers[effect.request]?.let { reply(effect.request, CallerReply.Relayed(it)) }
+            is TrafficEffect.Relay -> {
+                answers[effect.request]?.let { reply(effect.request, CallerReply.Relayed(it)) }
+            }
 
-            is TrafficEffect.Refuse -> refuse(effect)
+            is TrafficEffect.Refuse -> {
+                refuse(effect)
+            }
 
-            is TrafficEffect.ReadSubmission -> readSubmission(effect)
+            is TrafficEffect.CountUsage -> {
+                ports.countUsage(effect.team)
+            }
 
-            is TrafficEffect.StoreJob -> storeJob(effect)
+            is TrafficEffect.Explain -> {
+                ports.log.write(PART, effect.subject, effect.decision, effect.peer, effect.inputs)
+            }
 
-            is TrafficEffect.AcceptJob -> reply(effect.request, CallerReply.Own(ACCEPTED, "accepted"))
+            is TrafficEffect.JobEffect -> {
+                performJob(effect)
+            }
+        }
+    }
 
+    private fun performJob(effect: TrafficEffect.JobEffect) {
+        when (effect) {
+            is TrafficEffect.ReadSubmission -> readSubmission(effect)
+            is TrafficEffect.StoreJob -> storeJob(effect)
+            is TrafficEffect.AcceptJob -> reply(effect.request, CallerReply.Own(ACCEPTED, "accepted"))
             is TrafficEffect.TakeOverJob -> jobShell.takeOver(effect.record, effect.version)
-
             is TrafficEffect.ReloadJob -> jobShell.reload(effect.record)
-
             is TrafficEffect.ReleaseJob -> jobShell.release(effect.record, effect.version)
-
             is TrafficEffect.WriteResults -> jobShell.writeResults(effect.batch)
-
             is TrafficEffect.RunTask -> runTask(effect)
-
             is TrafficEffect.CancelTask -> cancelTask.remove(effect.job to effect.task)?.invoke()
-
-            is TrafficEffect.CountUsage -> ports.countUsage(effect.team)
-
-            is TrafficEffect.Explain -> ports.log.write(
-                PART,
-                effect.subject,
-                effect.decision,
-                effect.peer,
-                effect.inputs,
-            )
         }
     }
 
@@ -218,10 +241,21 @@
         reply: CallerReply,
     ) {
         val call = calls.remove(number) ?: return
+        recordLatency(number, call)
         if (reply is CallerReply.Own && reply.status >= FIRST_ERROR) ports.counters.refused.increment()
         call.reply(reply)
     }
 
+    private fun recordLatency(
+        number: Long,
+        call: CallerCall,
+    ) {
+        val arrived = arrivals.remove(number) ?: return
+        val latency = Duration.ofMillis(ports.clock.readMilliseconds() - arrived)
+        val timer = if (call.target is CallTarget.Routed) ports.counters.requestLatency else ports.counters.readLatency
+        timer.record(latency)
+    }
+
     private fun send(effect: TrafficEffect.Send) {
         val call = calls[effect.request]
         val scoring = effect.scoring
--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/deployment/CallerStandIn.kt
@@ -0,0 +1,114 @@
+/** Calls of an entry instance as callers and trainers on the platform make them, and what the operator writes. */
+package org.mulberrypin.standins.deployment
+
+import com.linecorp.armeria.client.WebClient
+import com.linecorp.armeria.common.AggregatedHttpResponse
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpMethod
+import com.linecorp.armeria.common.HttpRequest
+import com.linecorp.armeria.common.RequestHeaders
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+
+/** The host of all routes. */
+public const val ROUTE_HOST: String = "shop.example"
+
+/** The key of the only team. */
+public const val CALLER_KEY: String = "key-1"
+
+/**
+ * A caller of one entry instance.
+ *
+ * @property request sends a request under an identifier, with a key or without one
+ * @property submit submits a job with a number of tasks and the oldest version of the weights
+ * @property results reads the results of a job from the first on; empty when the instance cannot tell
+ * @property end ends a job
+ */
+public data class CallerStandIn(
+    val request: (path: String, id: String, key: String?) -> AggregatedHttpResponse,
+    val submit: (job: String, tasks: Int, minimumVersion: Int) -> Int,
+    val results: (job: String) -> List<JsonObject>,
+    val end: (job: String) -> Int,
+)
+
+/** Creates a caller of the instance that listens at [port] of the loopback interface. */
+public fun callerStandIn(port: Int): CallerStandIn {
+    val client = WebClient.of("h1c://127.0.0.1:$port")
+    return CallerStandIn(
+        request = { path, id, key -> call(client, HttpMethod.POST, path, id, key) },
+        submit = { job, tasks, minimumVersion ->
+            val body = submissionOf(tasks, minimumVersion)
+            call(client, HttpMethod.POST, "/sort/$job", job, CALLER_KEY, body).status().code()
+        },
+        results = { job -> resultsOf(call(client, HttpMethod.GET, "/mulberrypin/lots/$job?after=0", "", CALLER_KEY)) },
+        end = { job -> call(client, HttpMethod.DELETE, "/mulberrypin/lots/$job", "", CALLER_KEY).status().code() },
+    )
+}
+
+/** The head of a request as it goes over the connection, with a path that no library has touched. */
+public fun rawRequest(
+    path: String,
+    id: String,
+): String =
+    "GET $path HTTP/1.1\r\nHost: $ROUTE_HOST\r\nAuthorization: Bearer $CALLER_KEY\r\n" +
+        "Mulberrypin-Request-Id: $id\r\n\r\n"
+
+private fun call(
+    client: WebClient,
+    method: HttpMethod,
+    path: String,
+    id: String,
+    key: String?,
+    body: String = "body",
+): AggregatedHttpResponse {
+    val headers = RequestHeaders.builder(method, path).authority(ROUTE_HOST)
+    if (id.isNotEmpty()) headers.set("mulberrypin-request-id", id)
+    if (key != null) headers.set("authorization", "Bearer $key")
+    return client
+        .execute(HttpRequest.of(headers.build(), HttpData.ofUtf8(body)))
+        .aggregate()
+        .join()
+}
+
+private fun resultsOf(answer: AggregatedHttpResponse): List<JsonObject> {
+    if (!answer.status().isSuccess) return emptyList()
+    val root = Json.parseToJsonElement(answer.contentUtf8()).jsonObject
+    return root.getValue("results").jsonArray.map { it.jsonObject }
+}
+
+private fun submissionOf(
+    tasks: Int,
+    minimumVersion: Int,
+): String {
+    val items = (1..tasks).joinToString(",") {
+        """{"id":"task-$it","path":"/sort/$it","headers":{"Mulberrypin-Model":"sorter"},"body":"YQ==","tokens":10,""" +
+            """"group":"g${it / 2}","scorerUrl":{"id":"score-$it","host":"$ROUTE_HOST","path":"/scores/$it",""" +
+            """"body":"YQ=="}}"""
+    }
+    return """{"step":1,"model":"sorter","minVersion":$minimumVersion,"targetCount":1,"items":[$items]}"""
+}
+
+/** A configuration with a plain pool, an engine pool and one team; plain requests go under [ordersPrefix]. */
+public fun configurationText(
+    version: Int,
+    ordersPrefix: String = "/orders/",
+): String {
+    val orders = route("orders", ordersPrefix, "idempotent", "plain", isPublic = false)
+    val scores = route("scores", "/scores/", "idempotent", "plain", isPublic = true)
+    val sort = route("sort", "/sort/", "rollout", "engines", isPublic = false)
+    val services = """{"name":"plain"},{"name":"engines","engine":{"slots":8,"models":[{"name":"sorter"}]}}"""
+    val tenants = """{"name":"team-1","apiKeys":["$CALLER_KEY"]}"""
+    return """{"version":$version,"routes":[$orders,$scores,$sort],"services":[$services],"tenants":[$tenants]}"""
+}
+
+private fun route(
+    name: String,
+    prefix: String,
+    kind: String,
+    service: String,
+    isPublic: Boolean,
+): String =
+    """{"name":"$name","host":"$ROUTE_HOST","prefix":"$prefix","kind":"$kind","timeoutMs":3000,"goalMs":150,""" +
+        """"service":"$service","maxAttempts":3,"queueTtlS":40,"public":$isPublic}"""
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/deployment/ServerStandIn.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/deployment/ServerStandIn.kt
@@ -64,8 +64,7 @@
         .gracefulShutdownTimeoutMillis(0, 0)
         .serviceUnder("/") { context, request ->
             HttpResponse.of(request.aggregate().thenApply { behaviour.serve(it, context.rawPath()) })
-        }
-        .build()
+        }.build()
     server.start().join()
     val address = "127.0.0.1:${server.activeLocalPort()}"
     behaviour.onVersion = { store.write("servers", id, entryOf(address, pool, model, it)) }
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/deployment/StoreStandIn.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/deployment/StoreStandIn.kt
@@ -18,8 +18,10 @@
 import kotlinx.serialization.json.jsonPrimitive
 import kotlinx.serialization.json.long
 import kotlinx.serialization.json.put
+import org.mulberrypin.runtime.systemClock
 import java.net.InetSocketAddress
 import java.util.Base64
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicReference
@@ -83,6 +85,7 @@
 
 private class StoreKeeper {
     private val state = AtomicReference(RowTable())
+    private val clock = systemClock()
     private val objects = ConcurrentHashMap<String, ByteArray>()
     private val fault = AtomicReference<(String) -> StoreFault> { StoreFault.NONE }
 
@@ -165,31 +168,34 @@
     private fun follow(query: QueryParams): HttpResponse {
         val table = query.get("table", "")
         val after = query.getLong("after", 0)
-        val deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(query.getLong("waitMs", 0))
-        val response = HttpResponse.streaming()
-        return response.let {
-            val answer = java.util.concurrent.CompletableFuture<HttpResponse>()
-            poll(table, after, deadline, answer)
-            HttpResponse.of(answer)
-        }
+        val deadline = clock.readMilliseconds() + query.getLong("waitMs", 0)
+        val answer = CompletableFuture<HttpResponse>()
+        poll(table, after, deadline, answer)
+        return HttpResponse.of(answer)
     }
 
     private fun poll(
         table: String,
         after: Long,
         deadline: Long,
-        answer: java.util.concurrent.CompletableFuture<HttpResponse>,
+        answer: CompletableFuture<HttpResponse>,
     ) {
         val now = state.get()
         val rows = now.changesAfter(table, after)
         when {
-            after < now.forgottenVersion -> answer.complete(HttpResponse.of(HttpStatus.GONE))
-
-            rows.isNotEmpty() || System.nanoTime() >= deadline -> answer.complete(answer(HttpStatus.OK, now, rows))
-
-            else -> java.util.concurrent.CompletableFuture
-                .delayedExecutor(POLL_MILLISECONDS, TimeUnit.MILLISECONDS)
-                .execute { poll(table, after, deadline, answer) }
+            after < now.forgottenVersion -> {
+                answer.complete(HttpResponse.of(HttpStatus.GONE))
+            }
+
+            rows.isNotEmpty() || clock.readMilliseconds() >= deadline -> {
+                answer.complete(answer(HttpStatus.OK, now, rows))
+            }
+
+            else -> {
+                CompletableFuture
+                    .delayedExecutor(POLL_MILLISECONDS, TimeUnit.MILLISECONDS)
+                    .execute { poll(table, after, deadline, answer) }
+            }
         }
     }
 
@@ -213,7 +219,9 @@
     }
 }
 
-private fun JsonObject.entries(name: String): List<JsonObject> = get(name)?.jsonArray.orEmpty().map(JsonElement::jsonObject)
+private fun JsonObject.entries(name: String): List<JsonObject> = get(
+    name,
+)?.jsonArray.orEmpty().map(JsonElement::jsonObject)
 
 private fun JsonObject.text(name: String): String = getValue(name).jsonPrimitive.content
 
