--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/instances/WatchInstances.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/instances/WatchInstances.kt
@@ -34,12 +34,5 @@
         .filter { it.unchangedReadings < MISSED_READINGS && !it.heartbeat.leaving }
         .map { it.heartbeat }
 
-/** Instances that are gone for so many readings that their rows can be removed. */
-public fun InstanceWatch.forgottenInstances(): List<InstanceHeartbeat> =
-    seen.values.filter { it.unchangedReadings >= FORGOTTEN_READINGS }.map { it.heartbeat }
-
 /** Readings without a new heartbeat after which an instance counts as gone; readings come once for each heartbeat. */
 private const val MISSED_READINGS = 3
-
-/** Readings after which the row of an instance that is gone is removed. */
-private const val FORGOTTEN_READINGS = 60
