End a process whose start fails; look the callers' port up on any address

Cause: Server.activeLocalPort knows loopback addresses only and throws on a machine's own address. The main thread ended, the other threads served on, and no shutdown hook was set, so SIGTERM did not drain.

Change: the port is read from the active ports; a start that throws is reported and ends the process with exit code 1.

--- a/command/src/main/kotlin/org/mulberrypin/command/EntryCommand.kt
+++ b/command/src/main/kotlin/org/mulberrypin/command/EntryCommand.kt
@@ -33,7 +33,7 @@
         }
 
         is Outcome.Success -> {
-            run(settings.value, options)
+            run(settings.value, options, console)
         }
     }
 }
@@ -41,10 +41,17 @@
 private fun run(
     settings: DeploymentSettings,
     options: EntryOptions,
+    console: Console,
 ): ExitCode {
     // A shutdown still writes to the store, which the library's own hook would prevent.
     ClientFactory.disableShutdownHook()
-    val instance = startDeploymentInstance(settings, options.metricsPort, systemClock())
+    val instance = try {
+        startDeploymentInstance(settings, options.metricsPort, systemClock())
+    } catch (failure: RuntimeException) {
+        // Without this, the threads that did start would keep a process alive that never serves or drains.
+        console.complain("${settings.instance}: start failed: $failure")
+        return ExitCode.FAILED
+    }
     if (options.runMilliseconds == 0L) return runUntilTold(instance.drainAndStop)
     Thread.sleep(options.runMilliseconds)
     instance.drainAndStop()
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
@@ -1,6 +1,7 @@
 /** Composes the duties of an entry instance on the users' platform. */
 package org.mulberrypin.service.deployment
 
+import com.linecorp.armeria.server.Server
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import org.mulberrypin.decisions.traffic.InstanceIdentity
@@ -71,7 +72,7 @@
         traffic.stop()
         log.stop()
     }
-    return DeploymentInstance(server.activeLocalPort(), readiness::isReady, stop) {
+    return DeploymentInstance(callerPort(server), readiness::isReady, stop) {
         log.write("instance", identity.name, "stopping")
         shutdown.drain()
         val inputs = "underWay=${traffic.underWay} linesLeftOut=${log.droppedLines}"
@@ -89,6 +90,14 @@
     fun isReady(): Boolean = knowsConfiguration.get() && knowsBackends.get() && !draining.get()
 }
 
+/** The port of the callers' address; the library's own look-up knows loopback addresses only. */
+private fun callerPort(server: Server): Int =
+    server
+        .activePorts()
+        .keys
+        .first()
+        .port
+
 private fun outlets(
     traffic: TrafficDuty,
     control: ControlDuty,
