--- a/command/src/test/kotlin/org/mulberrypin/command/deployment/EntryCommandTest.kt
+++ b/command/src/test/kotlin/org/mulberrypin/command/deployment/EntryCommandTest.kt
@@ -20,8 +20,8 @@
             val address = "127.0.0.1:${taken.localPort}"
             Files.writeString(
                 file,
-                """{"nodeName":"entry-1","ip":"127.0.0.1","zone":"a","bind":{"front":"$address","ready":"127.0.0.1:0"},""" +
-                    """"platform":{"address":"127.0.0.1:9"}}""",
+                """{"nodeName":"entry-1","ip":"127.0.0.1","zone":"a",""" +
+                    """"bind":{"front":"$address","ready":"127.0.0.1:0"},"platform":{"address":"127.0.0.1:9"}}""",
             )
             val complaints = ArrayList<String>()
             val console = Console(answer = {}, complain = { complaints.add(it) })
