Refuse a job that cannot be stored on the thread of the traffic duty

Cause: the refusal came on an event loop thread, told the duty to forget the call and then looked it up in the duty's own table. When the duty was faster, the trainer got no answer until its own timeout; the table was also read by two threads.

Change: the refusal is a signal to the duty, which answers.

Test that failed first (seen: ResponseTimeoutException): EntryPathTest 'answers every submission at once while the store refuses writes'.

--- a/command/src/test/kotlin/org/mulberrypin/command/deployment/EntryPathTest.kt
+++ b/command/src/test/kotlin/org/mulberrypin/command/deployment/EntryPathTest.kt
@@ -126,6 +126,19 @@
         }
     }
 
+    @Test
+    fun `answers every submission at once while the store refuses writes`() {
+        DeploymentWorld().use { world ->
+            val instance = world.start("entry-1")
+            world.store.failWith { path -> if (path.endsWith("rows-tx")) StoreFault.REFUSED else StoreFault.NONE }
+            val caller = world.caller(instance)
+            val codes = (1..40).map { caller.submit("job-$it", 2, 1) }
+            expectThat(codes.toSet()).isEqualTo(setOf(503))
+            world.store.failWith { StoreFault.NONE }
+            expectThat(world.engines.sumOf { it.ran.size }).isEqualTo(0)
+        }
+    }
+
     @Test
     fun `follows the configuration after the store has dropped its history`() {
         DeploymentWorld().use { world ->
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
@@ -108,6 +108,7 @@
             is TrafficSignal.ResultsRead -> jobCalls.acceptResults(signal, calls[signal.number])
             is TrafficSignal.SubmissionRead -> jobCalls.acceptSubmission(signal, calls[signal.number])
             is TrafficSignal.EndWritten -> acceptEnd(signal)
+            is TrafficSignal.SubmissionRefused -> refuseSubmission(signal)
         }
     }
 
@@ -305,13 +306,15 @@
     private fun storeJob(effect: TrafficEffect.StoreJob) {
         val body = calls[effect.request]?.body ?: return
         jobShell.store(effect, body) { status, reason ->
-            offer(TrafficSignal.Told(TrafficEvent.CallerLeft(effect.request)))
-            ports.log.write(PART, effect.record.id, "job refused $status", "store", reason)
-            val retry = RETRY_MILLISECONDS.takeIf { status == UNAVAILABLE }
-            calls[effect.request]?.reply?.invoke(CallerReply.Own(status, reason, retry))
+            offer(TrafficSignal.SubmissionRefused(effect.request, effect.record.id, status, reason))
         }
     }
 
+    private fun refuseSubmission(signal: TrafficSignal.SubmissionRefused) {
+        ports.log.write(PART, signal.job, "job refused ${signal.status}", "store", signal.reason)
+        refuse(TrafficEffect.Refuse(signal.number, signal.status, signal.reason))
+    }
+
     private fun runTask(effect: TrafficEffect.RunTask) {
         val request = BackendRequest(
             address = effect.address,
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficSignal.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficSignal.kt
@@ -50,4 +50,12 @@
         val record: JobRecord,
         val outcome: Outcome<org.mulberrypin.platform.deployment.TransactionAnswer>,
     ) : TrafficSignal
+
+    /** A job could not be stored. */
+    data class SubmissionRefused(
+        val number: Long,
+        val job: String,
+        val status: Int,
+        val reason: String,
+    ) : TrafficSignal
 }
