Stay up when the settings change; say what was reloaded

Cause: the virtual machine ends at SIGHUP, by which the platform says that the settings file has changed. Seen on the real program: 'ended after SIGHUP, code 129'.

Change: the signal reads the settings again and logs them; what differs comes into force at the next start.

--- a/command/src/main/kotlin/org/mulberrypin/command/EntryCommand.kt
+++ b/command/src/main/kotlin/org/mulberrypin/command/EntryCommand.kt
@@ -7,6 +7,7 @@
 import org.mulberrypin.runtime.Outcome
 import org.mulberrypin.runtime.systemClock
 import org.mulberrypin.service.deployment.startDeploymentInstance
+import sun.misc.Signal
 import java.nio.file.Path
 
 internal val entryCommand: Command =
@@ -33,12 +34,13 @@
         }
 
         is Outcome.Success -> {
-            run(settings.value, options, console)
+            run(Path.of(file), settings.value, options, console)
         }
     }
 }
 
 private fun run(
+    file: Path,
     settings: DeploymentSettings,
     options: EntryOptions,
     console: Console,
@@ -52,6 +54,8 @@
         console.complain("${settings.instance}: start failed: $failure")
         return ExitCode.FAILED
     }
+    // Without a handler, the virtual machine ends at this signal.
+    Signal.handle(Signal("HUP")) { instance.reload(readDeploymentSettings(file)) }
     if (options.runMilliseconds == 0L) return runUntilTold(instance.drainAndStop)
     Thread.sleep(options.runMilliseconds)
     instance.drainAndStop()
--- a/command/src/test/kotlin/org/mulberrypin/command/processes/ProgramProcess.kt
+++ b/command/src/test/kotlin/org/mulberrypin/command/processes/ProgramProcess.kt
@@ -18,6 +18,11 @@
         process.destroyForcibly().waitFor()
     }
 
+    val isAlive: Boolean
+        get() = process.isAlive
+
+    fun hangUp() = signal("HUP")
+
     fun freeze() = signal("STOP")
 
     fun thaw() = signal("CONT")
@@ -38,11 +43,17 @@
         private const val READY_MARK = "ready at "
 
         /** Starts the program with [arguments] and waits until it says that it is ready. */
-        fun start(vararg arguments: String): ProgramProcess {
+        fun start(vararg arguments: String): ProgramProcess = startUntil(READY_MARK, *arguments)
+
+        /** Starts the program with [arguments] and waits for a line with [mark], which an address follows. */
+        fun startUntil(
+            mark: String,
+            vararg arguments: String,
+        ): ProgramProcess {
             val process = ProcessBuilder(commandLine(arguments.toList())).redirectErrorStream(true).start()
             val address = CompletableFuture<String>()
             val reader =
-                Thread { readOutput(process, address) }
+                Thread { readOutput(process, mark, address) }
             reader.isDaemon = true
             reader.start()
             return ProgramProcess(process, address.get(READY_SECONDS, TimeUnit.SECONDS))
@@ -50,15 +61,18 @@
 
         private fun readOutput(
             process: Process,
+            mark: String,
             address: CompletableFuture<String>,
         ) = try {
             val lines = process.inputReader().lineSequence()
-            lines.forEach { line -> if (READY_MARK in line) address.complete(line.substringAfter(READY_MARK)) }
+            lines.forEach { if (mark in it) address.complete(it.substringAfter(mark).takeWhile(::isOfAddress)) }
         } catch (_: IOException) {
             address.completeExceptionally(IllegalStateException("The process was ended."))
             Unit
         }
 
+        private fun isOfAddress(character: Char) = character.isLetterOrDigit() || character in ".:-"
+
         private fun commandLine(arguments: List<String>): List<String> {
             val java = File(System.getProperty("java.home"), "bin/java").path
             val classPath = System.getProperty("java.class.path")
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
@@ -13,6 +13,7 @@
 import org.mulberrypin.platform.deployment.httpBackendCalls
 import org.mulberrypin.platform.deployment.httpClients
 import org.mulberrypin.platform.deployment.httpRowStore
+import org.mulberrypin.runtime.Outcome
 import org.mulberrypin.runtime.ServiceClock
 import java.net.InetSocketAddress
 import java.util.concurrent.atomic.AtomicBoolean
@@ -23,12 +24,14 @@
  * @property callerPort port at which callers are served
  * @property isReady true while the instance takes work
  * @property kill ends all threads at once, as a crash does
+ * @property reload notes settings that were read again; what differs from the start comes into force at the next start
  * @property drainAndStop stops the instance; callers are asked to leave and jobs are given to other instances first
  */
 public data class DeploymentInstance(
     val callerPort: Int,
     val isReady: () -> Boolean,
     val kill: () -> Unit,
+    val reload: (Outcome<DeploymentSettings>) -> Unit,
     val drainAndStop: () -> Unit,
 )
 
@@ -62,7 +65,8 @@
         "instance",
         identity.name,
         "started",
-        inputs = "incarnation=${identity.incarnation} store=${settings.storeAddress}",
+        inputs = "incarnation=${identity.incarnation} store=${settings.storeAddress} " +
+            "callers=${settings.host}:${callerPort(server)}",
     )
     val shutdown = DeploymentShutdown(settings.graceMilliseconds, clock, readiness, traffic, control)
     val stop = {
@@ -72,7 +76,8 @@
         traffic.stop()
         log.stop()
     }
-    return DeploymentInstance(callerPort(server), readiness::isReady, stop) {
+    val reload = { read: Outcome<DeploymentSettings> -> noteReload(settings, read, log) }
+    return DeploymentInstance(callerPort(server), readiness::isReady, stop, reload) {
         log.write("instance", identity.name, "stopping")
         shutdown.drain()
         val inputs = "underWay=${traffic.underWay} linesLeftOut=${log.droppedLines}"
@@ -90,6 +95,19 @@
     fun isReady(): Boolean = knowsConfiguration.get() && knowsBackends.get() && !draining.get()
 }
 
+private fun noteReload(
+    settings: DeploymentSettings,
+    read: Outcome<DeploymentSettings>,
+    log: DecisionLog,
+) = when (read) {
+    is Outcome.Failure -> log.write("instance", settings.instance, "settings not reloaded", inputs = read.fault.toString())
+
+    is Outcome.Success -> {
+        val inputs = if (read.value == settings) "unchanged" else "in force at the next start: ${read.value}"
+        log.write("instance", settings.instance, "settings reloaded", inputs = inputs)
+    }
+}
+
 /** The port of the callers' address; the library's own look-up knows loopback addresses only. */
 private fun callerPort(server: Server): Int =
     server
