Read records of the store in one place; guess nothing from a row that cannot be read

Cause: the decoder of a row stood six times. Of an unreadable row of counts it made zero without a line, so that a window would have billed too little; of an unreadable lease it made a free one, whose next holder would have begun the fencing numbers anew. Sums of counts and the list of instances ended with the first page of rows. An object that could not be dropped and a reading of the instances that failed left no line.

Change: one decoder that logs; a window with such a row is not frozen, such a lease is not taken; all pages are read.

--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/ControlDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/ControlDuty.kt
@@ -1,6 +1,5 @@
 package org.mulberrypin.service.deployment
 
-import kotlinx.serialization.SerializationException
 import org.mulberrypin.decisions.instances.InstanceWatch
 import org.mulberrypin.decisions.instances.liveInstances
 import org.mulberrypin.decisions.instances.read
@@ -18,13 +17,13 @@
 import org.mulberrypin.platform.deployment.BackendCalls
 import org.mulberrypin.platform.deployment.DeploymentSettings
 import org.mulberrypin.platform.deployment.OrderAnswer
-import org.mulberrypin.platform.deployment.RowPage
 import org.mulberrypin.platform.deployment.RowRange
 import org.mulberrypin.platform.deployment.RowStore
 import org.mulberrypin.platform.deployment.RowTransaction
 import org.mulberrypin.platform.deployment.RowWrite
 import org.mulberrypin.platform.deployment.StoredRow
 import org.mulberrypin.platform.deployment.WeightOrder
+import org.mulberrypin.platform.deployment.readAllRows
 import org.mulberrypin.runtime.BoundedRing
 import org.mulberrypin.runtime.Duty
 import org.mulberrypin.runtime.Outcome
@@ -140,12 +139,15 @@
     }
 
     private fun readInstances() =
-        ports.store.readRows(RowRange(StoreTables.INSTANCES, "")) { offer(ControlSignal.InstancesRead(it)) }
+        ports.store.readAllRows(RowRange(StoreTables.INSTANCES, "")) { offer(ControlSignal.InstancesRead(it)) }
 
-    private fun acceptInstances(outcome: Outcome<RowPage>) {
+    private fun acceptInstances(outcome: Outcome<List<StoredRow>>) {
+        if (outcome is Outcome.Failure) {
+            ports.log.write(PART, identity.name, "instances not read", "store", outcome.fault.toString())
+        }
         if (outcome !is Outcome.Success) return
         val before = watch.liveInstances().map { LiveInstance(it.name, it.incarnation) }
-        watch = watch.read(outcome.value.rows.mapNotNull(::decodeHeartbeat))
+        watch = watch.read(outcome.value.mapNotNull { ports.log.decodeRecord(it, InstanceHeartbeat.serializer()) })
         val live = watch.liveInstances().map { LiveInstance(it.name, it.incarnation) }
         if (live.toSet() == before.toSet()) return
         (live - before.toSet()).forEach { ports.log.write(PART, it.name, "instance alive", "store", "$it") }
@@ -247,13 +249,6 @@
         contentionMilliseconds = Math.floorMod(identity.name.hashCode(), CONTENTION_MILLISECONDS).toLong(),
     )
 
-private fun decodeHeartbeat(row: StoredRow): InstanceHeartbeat? =
-    try {
-        recordJson.decodeFromString(InstanceHeartbeat.serializer(), row.value)
-    } catch (_: SerializationException) {
-        null
-    }
-
 /** Renewals within the duration of a lease, so that one may be lost. */
 private const val RENEWALS = 4
 
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/ControlSignal.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/ControlSignal.kt
@@ -3,7 +3,7 @@
 import org.mulberrypin.decisions.leases.LeaseEvent
 import org.mulberrypin.decisions.weights.WeightEvent
 import org.mulberrypin.decisions.windows.UsageEvent
-import org.mulberrypin.platform.deployment.RowPage
+import org.mulberrypin.platform.deployment.StoredRow
 import org.mulberrypin.runtime.Outcome
 import org.mulberrypin.schema.generated.BackendServerEntry
 import org.mulberrypin.schema.generated.NamedWeights
@@ -28,7 +28,7 @@
 
     /** The table of heartbeats was read. */
     data class InstancesRead(
-        val outcome: Outcome<RowPage>,
+        val outcome: Outcome<List<StoredRow>>,
     ) : ControlSignal
 
     /** A list of the platform changed; a null list stays as it was. */
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/FollowDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/FollowDuty.kt
@@ -161,6 +161,12 @@
         )
     }
 
+    private fun readWeights(row: StoredRow): NamedWeights? {
+        val named = decodeNamedWeights(row.value)
+        if (named == null) log.write(PART, row.key, "named version not readable", "store", "rowVersion=${row.version}")
+        return named
+    }
+
     private fun publishBackends(
         table: FollowedTable,
         now: Long,
@@ -198,7 +204,7 @@
         val handedOn = if (before.version == null) emptyMap() else before.rows
         val changed = after.rows.values.filter { handedOn[it.partition to it.key]?.version != it.version }
         val removed = handedOn.values.filter { it.partition to it.key !in after.rows }
-        val rows = changed.mapNotNull { row -> decodeJob(row)?.let { JobRow(row.key, it, row.version) } } +
+        val rows = changed.mapNotNull { row -> log.decodeJob(row)?.let { JobRow(row.key, it, row.version) } } +
             removed.map { JobRow(it.key, null, it.version) }
         if (rows.isNotEmpty()) outlets.onJobs(rows)
     }
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/FollowTable.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/FollowTable.kt
@@ -6,6 +6,7 @@
 
 import org.mulberrypin.platform.deployment.FeedAnswer
 import org.mulberrypin.platform.deployment.FeedQuestion
+import org.mulberrypin.platform.deployment.NEXT_CHARACTER
 import org.mulberrypin.platform.deployment.RowPage
 import org.mulberrypin.platform.deployment.RowRange
 import org.mulberrypin.platform.deployment.StoredRow
@@ -126,6 +127,3 @@
 
 /** Pause after a failed call, in milliseconds; twenty times the store's usual answer. */
 private const val FAILURE_PAUSE_MILLISECONDS = 80L
-
-/** The first printable character; no key goes on with a smaller one. */
-private const val NEXT_CHARACTER = '!'
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/JobCalls.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/JobCalls.kt
@@ -202,7 +202,7 @@
 
             is TransactionAnswer.Conflict -> {
                 val row = answer.rows.firstOrNull { it.key == signal.record.id }
-                val record = row?.let(::decodeJob)
+                val record = row?.let(ports.log::decodeJob)
                 if (record == null) {
                     reply(signal.number, CallerReply.Own(OK, "ended"))
                 } else if (call != null) {
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/JobShell.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/JobShell.kt
@@ -19,6 +19,7 @@
     private val jobs: JobStore,
     private val store: RowStore,
     private val identity: InstanceIdentity,
+    private val log: DecisionLog,
     private val tell: (TrafficEvent) -> Unit,
 ) {
     private var objects = 0L
@@ -66,7 +67,7 @@
         refuse: (Int, String) -> Unit,
     ) {
         val row = answer.rows.firstOrNull { it.key == effect.record.id }
-        val record = row?.let(::decodeJob)
+        val record = row?.let(log::decodeJob)
         when {
             record == null || record.team != effect.record.team -> {
                 refuse(GATEWAY_TIMEOUT, "the job's row is not readable")
@@ -77,13 +78,21 @@
             }
 
             else -> {
-                store.dropObject(effect.record.submissionObject.orEmpty()) {}
+                dropSubmission(effect.record)
                 tell(TrafficEvent.JobRowsSeen(listOf(JobRow(record.id, record, row.version))))
                 tell(TrafficEvent.JobSubmitted(effect.request, effect.record, effect.submission, effect.lengthHints))
             }
         }
     }
 
+    /** Drops the object of a submission that repeats an earlier one; what is left of it costs only room. */
+    private fun dropSubmission(record: JobRecord) =
+        store.dropObject(record.submissionObject) { outcome ->
+            if (outcome is Outcome.Failure) {
+                log.write("traffic", record.id, "submission not dropped", "store", outcome.fault.toString())
+            }
+        }
+
     private fun resolve(
         effect: TrafficEffect.StoreJob,
         fault: Fault,
@@ -118,7 +127,7 @@
                     is TransactionAnswer.Applied -> load(record, answer.version)
 
                     is TransactionAnswer.Conflict -> answer.rows.forEach { row ->
-                        decodeJob(row)?.let { tell(TrafficEvent.JobRowsSeen(listOf(JobRow(row.key, it, row.version)))) }
+                        log.decodeJob(row)?.let { tell(TrafficEvent.JobRowsSeen(listOf(JobRow(row.key, it, row.version)))) }
                     }
                 }
 
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/JobStore.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/JobStore.kt
@@ -4,10 +4,9 @@
  */
 package org.mulberrypin.service.deployment
 
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.Json
 import org.mulberrypin.decisions.traffic.ResultBatch
 import org.mulberrypin.platform.deployment.Answer
+import org.mulberrypin.platform.deployment.NEXT_CHARACTER
 import org.mulberrypin.platform.deployment.RowCondition
 import org.mulberrypin.platform.deployment.RowRange
 import org.mulberrypin.platform.deployment.RowStore
@@ -34,18 +33,12 @@
     val complete: Boolean,
 )
 
-internal val recordJson: Json = Json { ignoreUnknownKeys = true }
-
 /** Reads the record of a job's row, or answers null when it is none. */
-internal fun decodeJob(row: StoredRow): JobRecord? =
-    try {
-        recordJson.decodeFromString(JobRecord.serializer(), row.value)
-    } catch (_: SerializationException) {
-        null
-    }
+internal fun DecisionLog.decodeJob(row: StoredRow): JobRecord? = decodeRecord(row, JobRecord.serializer())
 
 internal class JobStore(
     private val store: RowStore,
+    private val log: DecisionLog,
 ) {
     /** Reads a job's row; null when there is none. */
     fun find(
@@ -57,7 +50,7 @@
             answer(
                 page.map { found ->
                     val row = found.rows.firstOrNull { it.key == job }
-                    row?.let(::decodeJob)?.let { StoredJob(it, row.version) }
+                    row?.let(log::decodeJob)?.let { StoredJob(it, row.version) }
                 },
             )
         }
@@ -117,7 +110,7 @@
             answer(
                 when (page) {
                     is Outcome.Failure -> page
-                    is Outcome.Success -> joinPieces(page.value.rows, page.value.more)
+                    is Outcome.Success -> joinPieces(page.value.rows, page.value.more, log)
                 },
             )
         }
@@ -160,13 +153,15 @@
 private fun joinPieces(
     rows: List<StoredRow>,
     more: Boolean,
+    log: DecisionLog,
 ): Outcome<ResultPage> {
     val results = ArrayList<TaskResult>()
     val text = StringBuilder()
     for (row in rows) {
         text.append(row.value, 1, row.value.length)
         if (row.value.startsWith(LAST_PIECE)) {
-            val result = decodeResult(text.toString()) ?: return unreadableResult(row)
+            val result = log.decodeRecord(row.key, text.toString(), TaskResult.serializer())
+                ?: return unreadableResult(row)
             results.add(result)
             text.clear()
         }
@@ -174,13 +169,6 @@
     return Outcome.Success(ResultPage(results, complete = !more))
 }
 
-private fun decodeResult(text: String): TaskResult? =
-    try {
-        recordJson.decodeFromString(TaskResult.serializer(), text)
-    } catch (_: SerializationException) {
-        null
-    }
-
 private fun unreadableResult(row: StoredRow): Outcome.Failure =
     Outcome.Failure(Fault("result read", "store", FaultKind.REFUSED, "expected a result under ${row.key}"))
 
@@ -192,6 +180,3 @@
 
 /** Rows of one reading of results; at 6 KB a result, 40 of them stay under the largest answer of a trainer. */
 private const val RESULT_ROWS = 40
-
-/** The first printable character; no key goes on with a smaller one. */
-private const val NEXT_CHARACTER = '!'
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/LeaseKeeper.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/LeaseKeeper.kt
@@ -1,6 +1,5 @@
 package org.mulberrypin.service.deployment
 
-import kotlinx.serialization.SerializationException
 import org.mulberrypin.decisions.leases.LeaseEffect
 import org.mulberrypin.decisions.leases.LeaseEvent
 import org.mulberrypin.decisions.leases.LeaseHold
@@ -99,7 +98,7 @@
 
                     is Outcome.Success -> {
                         val row = outcome.value.rows.firstOrNull { it.key == effect.name }
-                        LeaseEvent.RowRead(effect.attempt, leaseRow(row))
+                        leaseRow(row)?.let { LeaseEvent.RowRead(effect.attempt, it) } ?: LeaseEvent.ReadFailed(effect.attempt)
                     }
                 },
             )
@@ -137,12 +136,20 @@
                     }
 
                     is TransactionAnswer.Conflict -> {
-                        LeaseEvent.WriteConflicted(effect.attempt, leaseRow(answer.rows.firstOrNull()))
-                    }
+                    leaseRow(answer.rows.firstOrNull())
+                        ?.let { LeaseEvent.WriteConflicted(effect.attempt, it) }
+                        ?: LeaseEvent.WriteUnknown(effect.attempt)
+                }
                 }
             }
         }
 
+    /** The row as the decision takes it; null when its record cannot be read, so that nobody's numbers start anew. */
+    private fun leaseRow(row: StoredRow?): LeaseRow? {
+        if (row == null) return LeaseRow(0, null)
+        return log.decodeRecord(row, LeaseRecord.serializer())?.let { LeaseRow(row.version, it) }
+    }
+
     private companion object {
         private const val PART = "lease"
 
@@ -150,13 +157,3 @@
         private const val JUMP_MILLISECONDS = 150L
     }
 }
-
-private fun leaseRow(row: StoredRow?): LeaseRow =
-    if (row == null) LeaseRow(0, null) else LeaseRow(row.version, decodeLease(row.value))
-
-private fun decodeLease(text: String): LeaseRecord? =
-    try {
-        recordJson.decodeFromString(LeaseRecord.serializer(), text)
-    } catch (_: SerializationException) {
-        null
-    }
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
@@ -55,8 +55,8 @@
     private val answers = HashMap<Long, BackendAnswer>()
     private val cancelRequest = HashMap<Long, () -> Unit>()
     private val cancelTask = HashMap<Pair<String, String>, () -> Unit>()
-    private val jobStore = JobStore(ports.store)
-    private val jobShell = JobShell(jobStore, ports.store, identity, ::tell)
+    private val jobStore = JobStore(ports.store, ports.log)
+    private val jobShell = JobShell(jobStore, ports.store, identity, ports.log, ::tell)
     private val jobCalls = JobCalls(jobStore, ports, { state }, ::offer, ::reply)
     private var duty: Duty? = null
 
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/UsageKeeper.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/UsageKeeper.kt
@@ -1,6 +1,5 @@
 package org.mulberrypin.service.deployment
 
-import kotlinx.serialization.SerializationException
 import org.mulberrypin.decisions.leases.LeaseHold
 import org.mulberrypin.decisions.traffic.InstanceIdentity
 import org.mulberrypin.decisions.windows.UsageEffect
@@ -18,6 +17,7 @@
 import org.mulberrypin.platform.deployment.StoredRow
 import org.mulberrypin.platform.deployment.TransactionAnswer
 import org.mulberrypin.platform.deployment.UsageReport
+import org.mulberrypin.platform.deployment.readAllRows
 import org.mulberrypin.runtime.Outcome
 import org.mulberrypin.runtime.ServiceClock
 import org.mulberrypin.schema.generated.FrozenUsage
@@ -73,14 +73,27 @@
     }
 
     private fun freeze(window: Long) {
-        ports.store.readRows(RowRange(StoreTables.USAGE, window.toString())) { outcome ->
+        ports.store.readAllRows(RowRange(StoreTables.USAGE, window.toString())) { outcome ->
             when (outcome) {
                 is Outcome.Failure -> fail(window, outcome.fault.toString())
-                is Outcome.Success -> writeFrozen(window, sumCounts(outcome.value.rows.flatMap(::decodeCounts)))
+                is Outcome.Success -> freezeSum(window, outcome.value)
             }
         }
     }
 
+    /** A row that cannot be read stops the window: a sum without it would bill too little. */
+    private fun freezeSum(
+        window: Long,
+        rows: List<StoredRow>,
+    ) {
+        val counts = rows.mapNotNull { ports.log.decodeRecord(it, InstanceUsage.serializer()) }
+        if (counts.size == rows.size) {
+            writeFrozen(window, sumCounts(counts.flatMap { it.counts }))
+        } else {
+            fail(window, "${rows.size - counts.size} rows of counts are not readable")
+        }
+    }
+
     private fun writeFrozen(
         window: Long,
         counts: List<TeamCount>,
@@ -100,7 +113,7 @@
                     }
 
                     is TransactionAnswer.Conflict -> {
-                        val frozen = answer.rows.firstOrNull()?.let(::decodeFrozen)
+                        val frozen = answer.rows.firstOrNull()?.let { ports.log.decodeRecord(it, FrozenUsage.serializer()) }
                         if (frozen ==
                             null
                         ) {
@@ -152,17 +165,3 @@
         private const val EARLIER_WINDOWS = 3L
     }
 }
-
-private fun decodeCounts(row: StoredRow): List<TeamCount> =
-    try {
-        recordJson.decodeFromString(InstanceUsage.serializer(), row.value).counts
-    } catch (_: SerializationException) {
-        emptyList()
-    }
-
-private fun decodeFrozen(row: StoredRow): FrozenUsage? =
-    try {
-        recordJson.decodeFromString(FrozenUsage.serializer(), row.value)
-    } catch (_: SerializationException) {
-        null
-    }
--- /dev/null
+++ b/service/src/test/kotlin/org/mulberrypin/service/deployment/FakeRowStore.kt
@@ -0,0 +1,34 @@
+package org.mulberrypin.service.deployment
+
+import org.mulberrypin.platform.deployment.RowPage
+import org.mulberrypin.platform.deployment.RowRange
+import org.mulberrypin.platform.deployment.RowStore
+import org.mulberrypin.platform.deployment.RowTransaction
+import org.mulberrypin.platform.deployment.StoredRow
+import org.mulberrypin.platform.deployment.TransactionAnswer
+import org.mulberrypin.runtime.Outcome
+
+/** Rows that a test has put there, in pages of [pageRows], and the transactions that the code under test sends. */
+internal class FakeRowStore(
+    private val rows: List<StoredRow>,
+    private val pageRows: Int = 500,
+) {
+    val transactions = ArrayList<RowTransaction>()
+
+    val store = RowStore(
+        transact = { transaction, answer ->
+            transactions.add(transaction)
+            answer(Outcome.Success(TransactionAnswer.Applied(transactions.size.toLong())))
+        },
+        readRows = { range, answer -> answer(Outcome.Success(page(range))) },
+        follow = { _, _ -> },
+        putObject = { _, _, _ -> },
+        readObject = { _, _ -> },
+        dropObject = { _, _ -> },
+    )
+
+    private fun page(range: RowRange): RowPage {
+        val found = rows.filter { it.table == range.table && it.key >= range.fromKey }.sortedBy { it.key }
+        return RowPage(found.take(pageRows), found.size > pageRows, version = 1)
+    }
+}
