Judge bodies of a job when it is submitted; one set of statuses; remove what nothing uses

Cause: a task whose body or scoring call was no base64 was accepted and sent empty, and a scoring call without its path was dropped, so that the task never got its score. The bodies were decoded where they are sent, after the acceptance.

Change: platform/deployment reads a task whole or refuses the job with 400. ReplyStatus replaces the repeated constants. A named version that cannot be read is logged.

--- a/command/src/test/kotlin/org/mulberrypin/command/deployment/DeploymentWorld.kt
+++ b/command/src/test/kotlin/org/mulberrypin/command/deployment/DeploymentWorld.kt
@@ -36,7 +36,6 @@
             usageWindowMilliseconds = 5_000,
             leaseMilliseconds = 3_000,
             graceMilliseconds = 4_000,
-            resultsKeptMilliseconds = 120_000,
         )
         val instance = startDeploymentInstance(settings, 0, systemClock())
         instances.add(instance)
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardRequests.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardRequests.kt
@@ -15,12 +15,13 @@
     event: TrafficEvent.RequestArrived,
     nowMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> {
-    val table = routing ?: return refuse(event, UNAVAILABLE, "no configuration is known yet")
-    val route = table.findRoute(event.host, event.path) ?: return refuse(event, NOT_FOUND, "no route matches")
+    val table = routing ?: return refuse(event, ReplyStatus.UNAVAILABLE, "no configuration is known yet")
+    val route =
+        table.findRoute(event.host, event.path) ?: return refuse(event, ReplyStatus.NOT_FOUND, "no route matches")
     val admission = table.admit(route, event.key)
     return when {
         admission !is Admission.Granted -> {
-            refuse(event, UNAUTHORIZED, "the key is missing or unknown")
+            refuse(event, ReplyStatus.UNAUTHORIZED, "the key is missing or unknown")
         }
 
         route.kind == RequestKind.ROLLOUT -> {
@@ -30,7 +31,7 @@
         else -> {
             val request = forwardedRequest(event, route, admission.team, nowMilliseconds)
             if (request == null) {
-                refuse(event, UNAVAILABLE, "the route has no pool")
+                refuse(event, ReplyStatus.UNAVAILABLE, "the route has no pool")
             } else {
                 startRequest(request, nowMilliseconds)
             }
@@ -175,8 +176,8 @@
             full.retryOrGiveUp(idle, "status ${event.status}, not run", nowMilliseconds)
         }
 
-        event.status >= SERVER_ERRORS || (event.status < REDIRECTIONS && !event.signed) -> {
-            val errors = idle.errors + if (event.status == INTERNAL_ERROR) 1 else 0
+        event.status >= ReplyStatus.INTERNAL_ERROR || (event.status < ReplyStatus.REDIRECTION && !event.signed) -> {
+            val errors = idle.errors + if (event.status == ReplyStatus.INTERNAL_ERROR) 1 else 0
             val ran = idle.copy(mayHaveRun = true, errors = errors)
             val noted = copy(backends = reported).counted(ran)
             noted.andThen { it.retryAfterError(ran.copy(isCounted = true), event, nowMilliseconds) }
@@ -209,7 +210,7 @@
 ): Transition<TrafficState, TrafficEffect> {
     val detail = "status ${event.status}, signed=${event.signed}"
     val isScoring = request.origin is Origin.Scoring
-    val mayRelay = event.status >= REDIRECTIONS && !isScoring
+    val mayRelay = event.status >= ReplyStatus.REDIRECTION && !isScoring
     return if (mayRelay &&
         !canRepeat(request)
     ) {
@@ -256,13 +257,6 @@
         .retryOrGiveUp(idle, event.detail, nowMilliseconds)
 }
 
-internal const val UNAVAILABLE = 503
-internal const val NOT_FOUND = 404
-internal const val UNAUTHORIZED = 401
-private const val INTERNAL_ERROR = 500
-private const val SERVER_ERRORS = 500
-private const val REDIRECTIONS = 300
-
 /** Longest life of a request whose caller and route name no limit, in milliseconds. */
 private const val LONGEST_REQUEST_MILLISECONDS = 60_000L
 
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RetryRequests.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RetryRequests.kt
@@ -50,9 +50,9 @@
     if (origin is Origin.Scoring) return done.failScoring(origin, request, detail, nowMilliseconds)
     val isOver = nowMilliseconds >= request.deadlineMilliseconds
     val status = when {
-        !request.mayHaveRun -> UNAVAILABLE
-        isOver -> GATEWAY_TIMEOUT
-        else -> BAD_GATEWAY
+        !request.mayHaveRun -> ReplyStatus.UNAVAILABLE
+        isOver -> ReplyStatus.GATEWAY_TIMEOUT
+        else -> ReplyStatus.BAD_GATEWAY
     }
     val inputs = "$detail; attempts=${request.attempt} mayHaveRun=${request.mayHaveRun} " +
         "milliseconds=${nowMilliseconds - request.arrivedMilliseconds}"
@@ -145,8 +145,5 @@
     }
 }
 
-private const val BAD_GATEWAY = 502
-private const val GATEWAY_TIMEOUT = 504
-
 /** A refusal within this part of the objective leaves the caller time for another attempt elsewhere. */
 private const val WAITING_PART = 5
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RoutingTable.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RoutingTable.kt
@@ -14,7 +14,6 @@
     val version: Long,
     val routesByHost: Map<String, List<ServingRoute>>,
     val teamByKey: Map<String, String>,
-    val priorityByTeam: Map<String, Int>,
     val asksForKeys: Boolean,
     val modelsByPool: Map<String, List<String>>,
 )
@@ -27,9 +26,6 @@
             .groupBy { it.host }
             .mapValues { (_, routes) -> routes.sortedByDescending { it.pathPrefix.length } },
         teamByKey = configuration.teams.flatMap { team -> team.keys.map { it to team.name } }.toMap(),
-        priorityByTeam = configuration.teams
-            .mapNotNull { team -> team.priority?.let { team.name to it } }
-            .toMap(),
         asksForKeys = configuration.teams.isNotEmpty(),
         modelsByPool = configuration.pools.associate { it.name to it.models },
     )
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunJobs.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunJobs.kt
@@ -22,7 +22,10 @@
 
         draining -> {
             val explanation = TrafficEffect.Explain(event.record.id, "job refused", identity.name, "shutting down")
-            Transition(this, listOf(explanation, TrafficEffect.Refuse(event.request, UNAVAILABLE, "shutting down")))
+            Transition(
+                this,
+                listOf(explanation, TrafficEffect.Refuse(event.request, ReplyStatus.UNAVAILABLE, "shutting down")),
+            )
         }
 
         else -> {
@@ -56,7 +59,7 @@
     val known = jobs[id]
     val listed = event.listed.toSet()
     val job = if (known == null) {
-        newJob(event, listed, nowMilliseconds)
+        newJob(event, listed)
     } else {
         known.copy(
             record = event.record,
@@ -83,13 +86,11 @@
 private fun newJob(
     event: TrafficEvent.JobLoaded,
     listed: Set<String>,
-    nowMilliseconds: Long,
 ): RunningJob =
     RunningJob(
         record = event.record,
         version = event.version,
         submission = event.submission,
-        startedMilliseconds = nowMilliseconds,
         order = taskOrder(event.submission, event.lengthHints),
         tasks = event.submission.tasks
             .associate { task ->
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
@@ -176,7 +176,7 @@
     nowMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> =
     decideStream(event) { job, task ->
-        if (event.status < REDIRECTIONS) {
+        if (event.status < ReplyStatus.REDIRECTION) {
             acceptStreamStart(job, task, event, nowMilliseconds)
         } else {
             acceptTaskRefusal(job, task, event, nowMilliseconds)
@@ -208,9 +208,9 @@
     val detail = "status ${event.status}, notRun=${event.notRun}"
     val explanation = TrafficEffect.Explain(task.task.id, "attempt failed", server, detail)
     val freed = copy(backends = backends.changed(server) { it.released().full(nowMilliseconds) })
-    val errors = task.errors + if (event.status == INTERNAL_ERROR) 1 else 0
+    val errors = task.errors + if (event.status == ReplyStatus.INTERNAL_ERROR) 1 else 0
     val limit = routing?.findRoute(job.record.host, task.task.path)?.attemptLimit ?: 1
-    val isHopeless = !event.notRun && (event.status == UNPROCESSABLE || errors >= limit)
+    val isHopeless = !event.notRun && (event.status == ReplyStatus.UNPROCESSABLE || errors >= limit)
     val waiting = task.copy(
         phase = TaskPhase.WAITING,
         errors = errors,
@@ -338,10 +338,6 @@
     attempt: Int,
 ): TaskProgress? = tasks[task]?.takeIf { it.phase == TaskPhase.RUNNING && it.attempt == attempt }
 
-private const val REDIRECTIONS = 300
-private const val INTERNAL_ERROR = 500
-private const val UNPROCESSABLE = 422
-
 /** Pause after an engine refused a task, in milliseconds: about the work of one event. */
 private const val REFUSED_PAUSE_MILLISECONDS = 100L
 
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunningJob.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunningJob.kt
@@ -22,7 +22,6 @@
     val record: JobRecord,
     val version: Long,
     val submission: JobSubmission,
-    val startedMilliseconds: Long,
     val order: List<String>,
     val tasks: PersistentMap<String, TaskProgress>,
     val listed: Int = 0,
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
@@ -61,13 +61,8 @@
     traffic.start()
     control.start()
     follow.start()
-    log.write(
-        "instance",
-        identity.name,
-        "started",
-        inputs = "incarnation=${identity.incarnation} store=${settings.storeAddress} " +
-            "callers=${settings.host}:${callerPort(server)}",
-    )
+    val addresses = "store=${settings.storeAddress} callers=${settings.host}:${callerPort(server)}"
+    log.write("instance", identity.name, "started", inputs = "incarnation=${identity.incarnation} $addresses")
     val shutdown = DeploymentShutdown(settings.graceMilliseconds, clock, readiness, traffic, control)
     val stop = {
         server.stop()
@@ -100,7 +95,9 @@
     read: Outcome<DeploymentSettings>,
     log: DecisionLog,
 ) = when (read) {
-    is Outcome.Failure -> log.write("instance", settings.instance, "settings not reloaded", inputs = read.fault.toString())
+    is Outcome.Failure -> {
+        log.write("instance", settings.instance, "settings not reloaded", inputs = read.fault.toString())
+    }
 
     is Outcome.Success -> {
         val inputs = if (read.value == settings) "unchanged" else "in force at the next start: ${read.value}"
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/FollowDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/FollowDuty.kt
@@ -151,14 +151,8 @@
                 outlets.onConfiguration(configuration)
             }
         }
-        outlets.onWeights(
-            rows
-                .filter {
-                    it.key.startsWith(
-                        PlatformTables.WEIGHTS_PREFIX,
-                    )
-                }.mapNotNull { decodeNamedWeights(it.value) },
-        )
+        val named = rows.filter { it.key.startsWith(PlatformTables.WEIGHTS_PREFIX) }
+        outlets.onWeights(named.mapNotNull(::readWeights))
     }
 
     private fun readWeights(row: StoredRow): NamedWeights? {
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/JobCalls.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/JobCalls.kt
@@ -1,11 +1,13 @@
 package org.mulberrypin.service.deployment
 
 import org.mulberrypin.decisions.traffic.JobRow
+import org.mulberrypin.decisions.traffic.ReplyStatus
 import org.mulberrypin.decisions.traffic.TrafficState
 import org.mulberrypin.platform.deployment.CallTarget
 import org.mulberrypin.platform.deployment.CallerCall
 import org.mulberrypin.platform.deployment.CallerReply
 import org.mulberrypin.platform.deployment.TransactionAnswer
+import org.mulberrypin.platform.deployment.decodeBody
 import org.mulberrypin.platform.deployment.decodeSubmission
 import org.mulberrypin.platform.deployment.encodeResults
 import org.mulberrypin.runtime.Outcome
@@ -32,7 +34,7 @@
         val isKnown = routing != null && (!routing.asksForKeys || call.key in routing.teamByKey)
         when {
             routing == null -> reply(number, unavailable("no configuration is known yet"))
-            !isKnown -> reply(number, CallerReply.Own(UNAUTHORIZED, "the key is missing or unknown"))
+            !isKnown -> reply(number, CallerReply.Own(ReplyStatus.UNAUTHORIZED, "the key is missing or unknown"))
             else -> findJob(number, jobOf(call.target))
         }
     }
@@ -62,11 +64,11 @@
             ports.log.write(
                 PART,
                 jobOf(call.target),
-                "not found $NOT_FOUND",
+                "not found ${ReplyStatus.NOT_FOUND}",
                 "store",
                 "known=${found != null} team=$team",
             )
-            return reply(signal.number, CallerReply.Own(NOT_FOUND, "no such job"))
+            return reply(signal.number, CallerReply.Own(ReplyStatus.NOT_FOUND, "no such job"))
         }
         when (val target = call.target) {
             is CallTarget.Results -> beginRead(signal.number, found.record, target)
@@ -168,16 +170,16 @@
     private fun replyBody(
         number: Long,
         body: String?,
-    ) = reply(
-        number,
-        if (body == null) CallerReply.Own(NOT_FOUND, "no such task") else CallerReply.Content(decodeBody(body)),
-    )
+    ) {
+        val content = body?.let { CallerReply.Content(decodeBody(it)) }
+        reply(number, content ?: CallerReply.Own(ReplyStatus.NOT_FOUND, "no such task"))
+    }
 
     private fun end(
         number: Long,
         found: StoredJob,
     ) {
-        if (found.record.ended) return reply(number, CallerReply.Own(OK, "ended"))
+        if (found.record.ended) return reply(number, CallerReply.Own(ReplyStatus.OK, "ended"))
         val ended = found.record.copy(ended = true)
         jobs.write(ended, found.version) { offer(TrafficSignal.EndWritten(number, ended, it)) }
     }
@@ -190,13 +192,13 @@
         val outcome = signal.outcome
         if (outcome is Outcome.Failure) {
             ports.log.write(PART, signal.record.id, "end not written", "store", outcome.fault.toString())
-            reply(signal.number, CallerReply.Own(GATEWAY_TIMEOUT, outcome.fault.toString()))
+            reply(signal.number, CallerReply.Own(ReplyStatus.GATEWAY_TIMEOUT, outcome.fault.toString()))
             return null
         }
         return when (val answer = (outcome as Outcome.Success).value) {
             is TransactionAnswer.Applied -> {
                 ports.log.write(PART, signal.record.id, "job ended", "store", "version=${answer.version}")
-                reply(signal.number, CallerReply.Own(OK, "ended"))
+                reply(signal.number, CallerReply.Own(ReplyStatus.OK, "ended"))
                 JobRow(signal.record.id, signal.record, answer.version)
             }
 
@@ -204,7 +206,7 @@
                 val row = answer.rows.firstOrNull { it.key == signal.record.id }
                 val record = row?.let(ports.log::decodeJob)
                 if (record == null) {
-                    reply(signal.number, CallerReply.Own(OK, "ended"))
+                    reply(signal.number, CallerReply.Own(ReplyStatus.OK, "ended"))
                 } else if (call != null) {
                     end(signal.number, StoredJob(record, row.version))
                 }
@@ -213,15 +215,10 @@
         }
     }
 
-    private fun unavailable(reason: String) = CallerReply.Own(UNAVAILABLE, reason, RETRY_MILLISECONDS)
+    private fun unavailable(reason: String) = CallerReply.Own(ReplyStatus.UNAVAILABLE, reason, RETRY_MILLISECONDS)
 
     private companion object {
         private const val PART = "jobs"
-        private const val OK = 200
-        private const val UNAUTHORIZED = 401
-        private const val NOT_FOUND = 404
-        private const val UNAVAILABLE = 503
-        private const val GATEWAY_TIMEOUT = 504
 
         /** Time between two readings for a call that waits, in milliseconds. */
         private const val POLL_MILLISECONDS = 150L
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/JobShell.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/JobShell.kt
@@ -2,6 +2,7 @@
 
 import org.mulberrypin.decisions.traffic.InstanceIdentity
 import org.mulberrypin.decisions.traffic.JobRow
+import org.mulberrypin.decisions.traffic.ReplyStatus
 import org.mulberrypin.decisions.traffic.ResultBatch
 import org.mulberrypin.decisions.traffic.TrafficEffect
 import org.mulberrypin.decisions.traffic.TrafficEvent
@@ -39,7 +40,7 @@
         store.putObject(name, body) { outcome ->
             when (outcome) {
                 is Outcome.Success -> writeRow(named, refuse)
-                is Outcome.Failure -> refuse(UNAVAILABLE, outcome.fault.toString())
+                is Outcome.Failure -> refuse(ReplyStatus.UNAVAILABLE, outcome.fault.toString())
             }
         }
     }
@@ -70,7 +71,7 @@
         val record = row?.let(log::decodeJob)
         when {
             record == null || record.team != effect.record.team -> {
-                refuse(GATEWAY_TIMEOUT, "the job's row is not readable")
+                refuse(ReplyStatus.GATEWAY_TIMEOUT, "the job's row is not readable")
             }
 
             record.submissionObject == effect.record.submissionObject -> {
@@ -98,14 +99,14 @@
         fault: Fault,
         refuse: (Int, String) -> Unit,
     ) {
-        if (fault.kind == FaultKind.NOT_RUN) return refuse(UNAVAILABLE, fault.toString())
+        if (fault.kind == FaultKind.NOT_RUN) return refuse(ReplyStatus.UNAVAILABLE, fault.toString())
         jobs.find(effect.record.id) { outcome ->
             val found = (outcome as? Outcome.Success)?.value
             val isOurs = found?.record?.submissionObject == effect.record.submissionObject
             if (found != null && isOurs) {
                 tell(stored(effect, found.record, found.version))
             } else {
-                refuse(GATEWAY_TIMEOUT, fault.toString())
+                refuse(ReplyStatus.GATEWAY_TIMEOUT, fault.toString())
             }
         }
     }
@@ -127,7 +128,12 @@
                     is TransactionAnswer.Applied -> load(record, answer.version)
 
                     is TransactionAnswer.Conflict -> answer.rows.forEach { row ->
-                        log.decodeJob(row)?.let { tell(TrafficEvent.JobRowsSeen(listOf(JobRow(row.key, it, row.version)))) }
+                        val written = log.decodeJob(row)
+                        if (written !=
+                            null
+                        ) {
+                            tell(TrafficEvent.JobRowsSeen(listOf(JobRow(row.key, written, row.version))))
+                        }
                     }
                 }
 
@@ -223,9 +229,4 @@
             )
         }
     }
-
-    private companion object {
-        private const val UNAVAILABLE = 503
-        private const val GATEWAY_TIMEOUT = 504
-    }
 }
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/LeaseKeeper.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/LeaseKeeper.kt
@@ -98,7 +98,8 @@
 
                     is Outcome.Success -> {
                         val row = outcome.value.rows.firstOrNull { it.key == effect.name }
-                        leaseRow(row)?.let { LeaseEvent.RowRead(effect.attempt, it) } ?: LeaseEvent.ReadFailed(effect.attempt)
+                        leaseRow(row)?.let { LeaseEvent.RowRead(effect.attempt, it) }
+                            ?: LeaseEvent.ReadFailed(effect.attempt)
                     }
                 },
             )
@@ -136,10 +137,10 @@
                     }
 
                     is TransactionAnswer.Conflict -> {
-                    leaseRow(answer.rows.firstOrNull())
-                        ?.let { LeaseEvent.WriteConflicted(effect.attempt, it) }
-                        ?: LeaseEvent.WriteUnknown(effect.attempt)
-                }
+                        leaseRow(answer.rows.firstOrNull())
+                            ?.let { LeaseEvent.WriteConflicted(effect.attempt, it) }
+                            ?: LeaseEvent.WriteUnknown(effect.attempt)
+                    }
                 }
             }
         }
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/StoreRecords.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/StoreRecords.kt
@@ -9,7 +9,7 @@
 /** JSON of records; unknown fields are ignored, so that two versions of the program can run side by side. */
 internal val recordJson: Json = Json { ignoreUnknownKeys = true }
 
-/** Reads the record in [row]. A row that holds none is logged and answered with null; the caller decides what it means. */
+/** Reads the record in [row], or logs that it holds none and answers null. */
 internal fun <Value> DecisionLog.decodeRecord(
     row: StoredRow,
     record: DeserializationStrategy<Value>,
@@ -25,6 +25,7 @@
         recordJson.decodeFromString(record, text)
     } catch (failure: SerializationException) {
         val expected = record.descriptor.serialName.substringAfterLast('.')
-        write("store", name, "row not readable", "store", "expected $expected: ${failure.message?.lineSequence()?.first()}")
+        val reason = failure.message?.lineSequence()?.first()
+        write("store", name, "row not readable", "store", "expected $expected: $reason")
         null
     }
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
@@ -1,6 +1,7 @@
 package org.mulberrypin.service.deployment
 
 import org.mulberrypin.decisions.traffic.InstanceIdentity
+import org.mulberrypin.decisions.traffic.ReplyStatus
 import org.mulberrypin.decisions.traffic.TaskPhase
 import org.mulberrypin.decisions.traffic.TrafficEffect
 import org.mulberrypin.decisions.traffic.TrafficEvent
@@ -13,6 +14,7 @@
 import org.mulberrypin.platform.deployment.CallerCall
 import org.mulberrypin.platform.deployment.CallerReply
 import org.mulberrypin.platform.deployment.RowStore
+import org.mulberrypin.platform.deployment.decodeBody
 import org.mulberrypin.platform.deployment.decodeSubmission
 import org.mulberrypin.platform.deployment.lengthHintOf
 import org.mulberrypin.runtime.BoundedRing
@@ -26,7 +28,6 @@
 import org.mulberrypin.schema.generated.JobSubmission
 import org.mulberrypin.schema.generated.ScoringCall
 import java.time.Duration
-import java.util.Base64
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
 
@@ -81,8 +82,8 @@
     fun submit(call: CallerCall): Long {
         val number = numbers.incrementAndGet()
         if (!ring.offer(TrafficSignal.Called(number, call))) {
-            ports.log.write(PART, call.id, "refused $UNAVAILABLE", identity.name, "the ring is full")
-            call.reply(CallerReply.Own(UNAVAILABLE, "overloaded", RETRY_MILLISECONDS))
+            ports.log.write(PART, call.id, "refused ${ReplyStatus.UNAVAILABLE}", identity.name, "the ring is full")
+            call.reply(CallerReply.Own(ReplyStatus.UNAVAILABLE, "overloaded", RETRY_MILLISECONDS))
         }
         return number
     }
@@ -222,7 +223,7 @@
         when (effect) {
             is TrafficEffect.ReadSubmission -> readSubmission(effect)
             is TrafficEffect.StoreJob -> storeJob(effect)
-            is TrafficEffect.AcceptJob -> reply(effect.request, CallerReply.Own(ACCEPTED, "accepted"))
+            is TrafficEffect.AcceptJob -> reply(effect.request, CallerReply.Own(ReplyStatus.ACCEPTED, "accepted"))
             is TrafficEffect.TakeOverJob -> jobShell.takeOver(effect.record, effect.version)
             is TrafficEffect.ReloadJob -> jobShell.reload(effect.record)
             is TrafficEffect.ReleaseJob -> jobShell.release(effect.record, effect.version)
@@ -233,7 +234,7 @@
     }
 
     private fun refuse(effect: TrafficEffect.Refuse) {
-        val retry = RETRY_MILLISECONDS.takeIf { effect.status == UNAVAILABLE }
+        val retry = RETRY_MILLISECONDS.takeIf { effect.status == ReplyStatus.UNAVAILABLE }
         reply(effect.request, CallerReply.Own(effect.status, effect.reason, retry))
     }
 
@@ -243,7 +244,7 @@
     ) {
         val call = calls.remove(number) ?: return
         recordLatency(number, call)
-        if (reply is CallerReply.Own && reply.status >= FIRST_ERROR) ports.counters.refused.increment()
+        if (reply is CallerReply.Own && reply.status >= ReplyStatus.BAD_REQUEST) ports.counters.refused.increment()
         call.reply(reply)
     }
 
@@ -287,8 +288,17 @@
         val call = calls[effect.request] ?: return
         val submission = decodeSubmission(String(call.body))
         if (submission == null || effect.id.isEmpty() || call.method != "POST") {
-            ports.log.write(PART, effect.id, "job refused $BAD_REQUEST", identity.name, "expected a job as JSON")
-            reply(effect.request, CallerReply.Own(BAD_REQUEST, "expected a job with an identifier and items"))
+            ports.log.write(
+                PART,
+                effect.id,
+                "job refused ${ReplyStatus.BAD_REQUEST}",
+                identity.name,
+                "expected a job as JSON",
+            )
+            reply(
+                effect.request,
+                CallerReply.Own(ReplyStatus.BAD_REQUEST, "expected a job with an identifier and items"),
+            )
             return
         }
         val record = JobRecord(
@@ -346,10 +356,6 @@
 
         /** Time after which a refused caller may come back, in milliseconds. */
         private const val RETRY_MILLISECONDS = 100L
-        private const val ACCEPTED = 202
-        private const val BAD_REQUEST = 400
-        private const val UNAVAILABLE = 503
-        private const val FIRST_ERROR = 400
     }
 }
 
@@ -358,14 +364,6 @@
         lengthHintOf(it)
 }
 
-/** A body that is no base64 is sent empty; the engine judges it. */
-internal fun decodeBody(text: String): ByteArray =
-    try {
-        Base64.getDecoder().decode(text)
-    } catch (_: IllegalArgumentException) {
-        ByteArray(0)
-    }
-
 private fun forwarded(
     effect: TrafficEffect.Send,
     call: CallerCall,
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/UsageKeeper.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/UsageKeeper.kt
@@ -113,7 +113,12 @@
                     }
 
                     is TransactionAnswer.Conflict -> {
-                        val frozen = answer.rows.firstOrNull()?.let { ports.log.decodeRecord(it, FrozenUsage.serializer()) }
+                        val frozen = answer.rows.firstOrNull()?.let {
+                            ports.log.decodeRecord(
+                                it,
+                                FrozenUsage.serializer(),
+                            )
+                        }
                         if (frozen ==
                             null
                         ) {
