Answer 503 with a time to come back when the end of a job never reached the store

Cause: every failed write of an end was answered 504, also one that the store certainly did not take. A refused key on a call about a job left no line in the log, and a job under an identifier of another team was refused as "not readable".

Change: 503 with Retry-After where the write did not reach the store, 504 elsewhere; 409 for an identifier in use; a line for a refused key. Conditions that the formatter had broken over lines are written plainly.

Shown: JobCallsTest failed first (504 for a write that was not run) and passes; the 409 and the line have no test.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardRequests.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardRequests.kt
@@ -16,8 +16,8 @@
     nowMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> {
     val table = routing ?: return refuse(event, ReplyStatus.UNAVAILABLE, "no configuration is known yet")
-    val route =
-        table.findRoute(event.host, event.path) ?: return refuse(event, ReplyStatus.NOT_FOUND, "no route matches")
+    val route = table.findRoute(event.host, event.path)
+        ?: return refuse(event, ReplyStatus.NOT_FOUND, "no route matches")
     val admission = table.admit(route, event.key)
     return when {
         admission !is Admission.Granted -> {
@@ -211,9 +211,7 @@
     val detail = "status ${event.status}, signed=${event.signed}"
     val isScoring = request.origin is Origin.Scoring
     val mayRelay = event.status >= ReplyStatus.REDIRECTION && !isScoring
-    return if (mayRelay &&
-        !canRepeat(request)
-    ) {
+    return if (mayRelay && !canRepeat(request)) {
         finish(request, event, nowMilliseconds)
     } else {
         retryOrGiveUp(request, detail, nowMilliseconds)
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ReplyStatus.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ReplyStatus.kt
@@ -12,6 +12,7 @@
     public const val BAD_REQUEST: Int = 400
     public const val UNAUTHORIZED: Int = 401
     public const val NOT_FOUND: Int = 404
+    public const val CONFLICT: Int = 409
     public const val UNPROCESSABLE: Int = 422
 
     /** The first status that is an error of the server. */
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RetryRequests.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RetryRequests.kt
@@ -107,11 +107,7 @@
             if (sent.effects.isNotEmpty()) {
                 sent
             } else {
-                waitOrGiveUp(
-                    request,
-                    "no backend server is known",
-                    nowMilliseconds,
-                )
+                waitOrGiveUp(request, "no backend server is known", nowMilliseconds)
             }
         }
 
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/FollowDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/FollowDuty.kt
@@ -93,11 +93,8 @@
         val after = change(before)
         tables = tables + (table to after)
         noteDependency(before, after)
-        if (after.failures > 0 &&
-            table == PlatformTables.BACKEND_SERVERS
-        ) {
-            lapses = lapses.copy(troubledMilliseconds = now)
-        }
+        val isBackends = table == PlatformTables.BACKEND_SERVERS
+        if (isBackends && after.failures > 0) lapses = lapses.copy(troubledMilliseconds = now)
         if (after.version != null && (after.rows != before.rows || before.version == null)) publish(before, after, now)
         ask(after, now)
     }
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/JobCalls.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/JobCalls.kt
@@ -10,6 +10,8 @@
 import org.mulberrypin.platform.deployment.decodeBody
 import org.mulberrypin.platform.deployment.decodeSubmission
 import org.mulberrypin.platform.deployment.encodeResults
+import org.mulberrypin.runtime.Fault
+import org.mulberrypin.runtime.FaultKind
 import org.mulberrypin.runtime.Outcome
 import org.mulberrypin.schema.generated.JobRecord
 
@@ -34,11 +36,21 @@
         val isKnown = routing != null && (!routing.asksForKeys || call.key in routing.teamByKey)
         when {
             routing == null -> reply(number, unavailable("no configuration is known yet"))
-            !isKnown -> reply(number, CallerReply.Own(ReplyStatus.UNAUTHORIZED, "the key is missing or unknown"))
+            !isKnown -> refuseKey(number, call, routing.version)
             else -> findJob(number, jobOf(call.target))
         }
     }
 
+    private fun refuseKey(
+        number: Long,
+        call: CallerCall,
+        version: Long,
+    ) {
+        val inputs = "the key is missing or unknown; configuration=$version"
+        ports.log.write(PART, jobOf(call.target), "refused ${ReplyStatus.UNAUTHORIZED}", "", inputs)
+        reply(number, CallerReply.Own(ReplyStatus.UNAUTHORIZED, "the key is missing or unknown"))
+    }
+
     private fun findJob(
         number: Long,
         job: String,
@@ -61,13 +73,8 @@
         val found = (outcome as Outcome.Success).value
         val team = call.key?.let { state().routing?.teamByKey?.get(it) }.orEmpty()
         if (found == null || found.record.team != team) {
-            ports.log.write(
-                PART,
-                jobOf(call.target),
-                "not found ${ReplyStatus.NOT_FOUND}",
-                "store",
-                "known=${found != null} team=$team",
-            )
+            val inputs = "known=${found != null} team=$team"
+            ports.log.write(PART, jobOf(call.target), "not found ${ReplyStatus.NOT_FOUND}", "store", inputs)
             return reply(signal.number, CallerReply.Own(ReplyStatus.NOT_FOUND, "no such job"))
         }
         when (val target = call.target) {
@@ -192,7 +199,7 @@
         val outcome = signal.outcome
         if (outcome is Outcome.Failure) {
             ports.log.write(PART, signal.record.id, "end not written", "store", outcome.fault.toString())
-            reply(signal.number, CallerReply.Own(ReplyStatus.GATEWAY_TIMEOUT, outcome.fault.toString()))
+            reply(signal.number, endRefused(outcome.fault))
             return null
         }
         return when (val answer = (outcome as Outcome.Success).value) {
@@ -215,6 +222,13 @@
         }
     }
 
+    private fun endRefused(fault: Fault): CallerReply =
+        if (fault.kind == FaultKind.NOT_RUN) {
+            unavailable(fault.toString())
+        } else {
+            CallerReply.Own(ReplyStatus.GATEWAY_TIMEOUT, fault.toString())
+        }
+
     private fun unavailable(reason: String) = CallerReply.Own(ReplyStatus.UNAVAILABLE, reason, RETRY_MILLISECONDS)
 
     private companion object {
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/JobShell.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/JobShell.kt
@@ -7,6 +7,7 @@
 import org.mulberrypin.decisions.traffic.TrafficEffect
 import org.mulberrypin.decisions.traffic.TrafficEvent
 import org.mulberrypin.platform.deployment.RowStore
+import org.mulberrypin.platform.deployment.StoredRow
 import org.mulberrypin.platform.deployment.TransactionAnswer
 import org.mulberrypin.platform.deployment.decodeSubmission
 import org.mulberrypin.runtime.Fault
@@ -70,10 +71,14 @@
         val row = answer.rows.firstOrNull { it.key == effect.record.id }
         val record = row?.let(log::decodeJob)
         when {
-            record == null || record.team != effect.record.team -> {
+            record == null -> {
                 refuse(ReplyStatus.GATEWAY_TIMEOUT, "the job's row is not readable")
             }
 
+            record.team != effect.record.team -> {
+                refuse(ReplyStatus.CONFLICT, "the identifier is in use")
+            }
+
             record.submissionObject == effect.record.submissionObject -> {
                 tell(stored(effect, record, row.version))
             }
@@ -126,15 +131,7 @@
             when (outcome) {
                 is Outcome.Success -> when (val answer = outcome.value) {
                     is TransactionAnswer.Applied -> load(record, answer.version)
-
-                    is TransactionAnswer.Conflict -> answer.rows.forEach { row ->
-                        val written = log.decodeJob(row)
-                        if (written !=
-                            null
-                        ) {
-                            tell(TrafficEvent.JobRowsSeen(listOf(JobRow(row.key, written, row.version))))
-                        }
-                    }
+                    is TransactionAnswer.Conflict -> tell(TrafficEvent.JobRowsSeen(answer.rows.mapNotNull(::jobRow)))
                 }
 
                 is Outcome.Failure -> tell(TrafficEvent.JobLoadFailed(record.id, outcome.fault.toString()))
@@ -142,6 +139,8 @@
         }
     }
 
+    private fun jobRow(row: StoredRow): JobRow? = log.decodeJob(row)?.let { JobRow(row.key, it, row.version) }
+
     /** Reads the rows of a job again. */
     fun reload(record: JobRecord) {
         jobs.find(record.id) { outcome ->
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
@@ -92,12 +92,8 @@
     fun tell(event: TrafficEvent) = offer(TrafficSignal.Told(event))
 
     private fun offer(signal: TrafficSignal) {
-        if (!ring.offer(
-                signal,
-            )
-        ) {
-            ports.log.write(PART, "ring", "signal dropped", identity.name, signal.javaClass.simpleName)
-        }
+        val isTaken = ring.offer(signal)
+        if (!isTaken) ports.log.write(PART, "ring", "signal dropped", identity.name, signal.javaClass.simpleName)
     }
 
     private fun handle(signal: TrafficSignal) {
@@ -288,17 +284,9 @@
         val call = calls[effect.request] ?: return
         val submission = decodeSubmission(String(call.body))
         if (submission == null || effect.id.isEmpty() || call.method != "POST") {
-            ports.log.write(
-                PART,
-                effect.id,
-                "job refused ${ReplyStatus.BAD_REQUEST}",
-                identity.name,
-                "expected a job as JSON",
-            )
-            reply(
-                effect.request,
-                CallerReply.Own(ReplyStatus.BAD_REQUEST, "expected a job with an identifier and items"),
-            )
+            val expected = "expected a POST of a job with an identifier and items, their bodies in base64"
+            ports.log.write(PART, effect.id, "job refused ${ReplyStatus.BAD_REQUEST}", identity.name, expected)
+            reply(effect.request, CallerReply.Own(ReplyStatus.BAD_REQUEST, expected))
             return
         }
         val record = JobRecord(
@@ -359,10 +347,8 @@
     }
 }
 
-internal fun lengthHints(submission: JobSubmission): Map<String, Long> = submission.tasks.associate {
-    it.id to
-        lengthHintOf(it)
-}
+internal fun lengthHints(submission: JobSubmission): Map<String, Long> =
+    submission.tasks.associate { it.id to lengthHintOf(it) }
 
 private fun forwarded(
     effect: TrafficEffect.Send,
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/UsageKeeper.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/UsageKeeper.kt
@@ -113,25 +113,26 @@
                     }
 
                     is TransactionAnswer.Conflict -> {
-                        val frozen = answer.rows.firstOrNull()?.let {
-                            ports.log.decodeRecord(
-                                it,
-                                FrozenUsage.serializer(),
-                            )
-                        }
-                        if (frozen ==
-                            null
-                        ) {
-                            fail(window, "the frozen row is not readable")
-                        } else {
-                            ports.tell(UsageEvent.Frozen(window, frozen.counts))
-                        }
+                        acceptFrozen(window, answer.rows.firstOrNull())
                     }
                 }
             }
         }
     }
 
+    /** Takes the figures that another holder has frozen. */
+    private fun acceptFrozen(
+        window: Long,
+        row: StoredRow?,
+    ) {
+        val frozen = row?.let { ports.log.decodeRecord(it, FrozenUsage.serializer()) }
+        if (frozen == null) {
+            fail(window, "the frozen row is not readable")
+        } else {
+            ports.tell(UsageEvent.Frozen(window, frozen.counts))
+        }
+    }
+
     private fun report(effect: UsageEffect.Report) {
         val hold = ports.hold() ?: return ports.tell(UsageEvent.StepFailed(effect.window))
         val counts = effect.counts.associate { it.team to it.requests }
