Keep one write of a job's results under way when readings of its rows overlap

Cause: while the rows of a job are read again, the reading is repeated each 1.2 s; with a slow store several are under way. A second, older reading reset the write that the first had led to, a second write was sent beside it, and the answer of one was taken for the other. A result was counted as listed that was not: its position stayed empty, and later results stood behind the gap.

Change: rows that were read before what is known are not taken, nor rows that nobody waits for; the answer to a write says which write it was, so that one of an earlier ownership is not taken either.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunJobs.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunJobs.kt
@@ -55,8 +55,9 @@
     nowMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> {
     val id = event.record.id
-    if (!isOwn(event.record) || event.record.ended) return dropJob(id, "ended or owned by ${event.record.owner}")
     val known = jobs[id]
+    if (isOutdated(event)) return Transition(this)
+    if (!isOwn(event.record) || event.record.ended) return dropJob(id, "ended or owned by ${event.record.owner}")
     val listed = event.listed.toSet()
     val job = if (known == null) {
         newJob(event, listed)
@@ -83,6 +84,12 @@
     return noted.andThen { it.writeResults(id, nowMilliseconds) }.andThen { it.dispatchTasks(nowMilliseconds) }
 }
 
+/** Whether rows were read before what is known of the job, as several readings may be under way. */
+private fun TrafficState.isOutdated(event: TrafficEvent.JobLoaded): Boolean {
+    val isSuperseded = (records[event.record.id]?.version ?: 0) > event.version
+    return isSuperseded || jobs[event.record.id]?.reloading == false
+}
+
 private fun newJob(
     event: TrafficEvent.JobLoaded,
     listed: Set<String>,
@@ -237,7 +244,8 @@
     event: TrafficEvent.ResultsWritten,
     nowMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> {
-    val job = jobs[event.job] ?: return Transition(this)
+    val id = event.batch.record.id
+    val job = jobs[id]?.takeIf { it.awaits(event.batch) } ?: return Transition(this)
     val written = job.unlisted.take(job.writing)
     val rest = job.unlisted.drop(job.writing).toPersistentList()
     val next = job.copy(
@@ -250,27 +258,32 @@
         TrafficEffect.Explain(
             it.id,
             "result listed ${it.state}",
-            event.job,
+            id,
             "weights=${it.versions} listed=${next.listed}",
         )
     }
     if (next.listed >= next.tasks.size) {
-        return Transition<TrafficState, TrafficEffect>(this, explanations).andThen { it.dropJob(event.job, "complete") }
+        return Transition<TrafficState, TrafficEffect>(this, explanations).andThen { it.dropJob(id, "complete") }
     }
-    return Transition<TrafficState, TrafficEffect>(copy(jobs = jobs.put(event.job, next)), explanations)
-        .andThen { it.writeResults(event.job, nowMilliseconds) }
+    return Transition<TrafficState, TrafficEffect>(copy(jobs = jobs.put(id, next)), explanations)
+        .andThen { it.writeResults(id, nowMilliseconds) }
 }
 
+/** Whether [batch] is the write under way, and not one of an earlier ownership of the job. */
+private fun RunningJob.awaits(batch: ResultBatch): Boolean =
+    writing == batch.results.size && listed == batch.firstPosition && version == batch.version
+
 /** After a write whose outcome is not certain, the rows of the job decide. */
 internal fun TrafficState.acceptNotWritten(
     event: TrafficEvent.ResultsNotWritten,
     nowMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> {
-    val job = jobs[event.job] ?: return Transition(this)
+    val id = event.batch.record.id
+    val job = jobs[id]?.takeIf { it.awaits(event.batch) } ?: return Transition(this)
     val reloading = job.copy(reloading = true, reloadMilliseconds = nowMilliseconds + RELOAD_PAUSE_MILLISECONDS)
     return Transition(
-        copy(jobs = jobs.put(event.job, reloading)),
-        listOf(TrafficEffect.Explain(event.job, "results not written", "store", event.detail)),
+        copy(jobs = jobs.put(id, reloading)),
+        listOf(TrafficEffect.Explain(id, "results not written", "store", event.detail)),
     )
 }
 
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEvent.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEvent.kt
@@ -112,15 +112,15 @@
         val detail: String,
     ) : JobEvent
 
-    /** Results of a job were written. */
+    /** A write of results took effect; the job's row now has [version]. */
     public data class ResultsWritten(
-        val job: String,
+        val batch: ResultBatch,
         val version: Long,
     ) : JobEvent
 
-    /** Results of a job were not written, or may not have been. */
+    /** A write of results took no effect, or may not have. */
     public data class ResultsNotWritten(
-        val job: String,
+        val batch: ResultBatch,
         val detail: String,
     ) : JobEvent
 
--- a/decisions/src/test/kotlin/org/mulberrypin/decisions/traffic/RunJobsTest.kt
+++ b/decisions/src/test/kotlin/org/mulberrypin/decisions/traffic/RunJobsTest.kt
@@ -103,10 +103,11 @@
         val world = world()
         val runs = world.startJob(3)
         world.complete(runs[0])
-        expectThat(world.single<TrafficEffect.WriteResults>().batch.firstPosition).isEqualTo(0)
+        val batch = world.single<TrafficEffect.WriteResults>().batch
+        expectThat(batch.firstPosition).isEqualTo(0)
         world.complete(runs[1])
         expectThat(world.all<TrafficEffect.WriteResults>()).isEmpty()
-        world.tell(TrafficEvent.ResultsWritten("job-1", 10))
+        world.tell(TrafficEvent.ResultsWritten(batch, 10))
         expectThat(world.single<TrafficEffect.WriteResults>().batch.firstPosition).isEqualTo(1)
     }
 
@@ -115,7 +116,8 @@
         val world = world()
         val runs = world.startJob(2)
         world.complete(runs[0])
-        world.tell(TrafficEvent.ResultsNotWritten("job-1", "no answer"))
+        val lost = world.single<TrafficEffect.WriteResults>().batch
+        world.tell(TrafficEvent.ResultsNotWritten(lost, "no answer"))
         world.complete(runs[1])
         expectThat(world.all<TrafficEffect.WriteResults>()).isEmpty()
         world.now += 300
@@ -128,6 +130,44 @@
         expectThat(batch.results.map { it.id }).containsExactly(runs[1].task.id)
     }
 
+    @Test
+    fun `has one write under way when rows that were read twice arrive one after the other`() {
+        val world = world()
+        val runs = world.startJob(3)
+        world.complete(runs[0])
+        val lost = world.single<TrafficEffect.WriteResults>().batch
+        world.tell(TrafficEvent.ResultsNotWritten(lost, "no answer"))
+        val empty = TrafficEvent.JobLoaded(ownRecord(3), 10, submission(3), emptyMap(), emptyList())
+        world.tell(empty)
+        expectThat(world.all<TrafficEffect.WriteResults>()).hasSize(1)
+        world.complete(runs[1])
+        world.tell(empty)
+        expectThat(world.all<TrafficEffect.WriteResults>()).isEmpty()
+    }
+
+    @Test
+    fun `takes no answer to a write that was sent before the job was lost and taken over again`() {
+        val world = world()
+        world.complete(world.startJob(2).first())
+        val old = world.single<TrafficEffect.WriteResults>().batch
+        world.tell(TrafficEvent.JobRowsSeen(listOf(JobRow("job-1", ownRecord(2).copy(owner = "entry-2"), 11))))
+        world.tell(TrafficEvent.JobLoaded(ownRecord(2), 12, submission(2), emptyMap(), emptyList()))
+        world.complete(world.all<TrafficEffect.RunTask>().first())
+        world.tell(TrafficEvent.ResultsWritten(old, 10))
+        val job = world.state.jobs.getValue("job-1")
+        expectThat(job.listed).isEqualTo(0)
+        expectThat(job.writing).isEqualTo(1)
+    }
+
+    @Test
+    fun `starts no job from rows that were read before another instance took it over`() {
+        val world = world()
+        val taken = ownRecord(2).copy(owner = "entry-2")
+        world.tell(TrafficEvent.JobRowsSeen(listOf(JobRow("job-1", taken, 11))))
+        world.tell(TrafficEvent.JobLoaded(ownRecord(2), 10, submission(2), emptyMap(), emptyList()))
+        expectThat(world.all<TrafficEffect.RunTask>()).isEmpty()
+    }
+
     @Test
     fun `marks the job complete with its last results`() {
         val world = world()
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/JobShell.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/JobShell.kt
@@ -208,20 +208,19 @@
     /** Writes results. */
     fun writeResults(batch: ResultBatch) {
         jobs.writeResults(batch) { outcome ->
-            val job = batch.record.id
             tell(
                 when (outcome) {
-                    is Outcome.Failure -> TrafficEvent.ResultsNotWritten(job, outcome.fault.toString())
+                    is Outcome.Failure -> TrafficEvent.ResultsNotWritten(batch, outcome.fault.toString())
 
                     is Outcome.Success -> when (val answer = outcome.value) {
                         is TransactionAnswer.Applied -> {
                             // Only the last write changes the job's row and with it the version to go by.
                             val version = if (batch.record.complete) answer.version else batch.version
-                            TrafficEvent.ResultsWritten(job, version)
+                            TrafficEvent.ResultsWritten(batch, version)
                         }
 
                         is TransactionAnswer.Conflict -> {
-                            TrafficEvent.ResultsNotWritten(job, "the job's row has changed")
+                            TrafficEvent.ResultsNotWritten(batch, "the job's row has changed")
                         }
                     }
                 },
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/deployment/CallerStandIn.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/deployment/CallerStandIn.kt
@@ -39,7 +39,7 @@
     return CallerStandIn(
         request = { path, id, key -> call(client, HttpMethod.POST, path, id, key) },
         submit = { job, tasks, minimumVersion ->
-            val body = submissionOf(tasks, minimumVersion)
+            val body = submissionText(tasks, minimumVersion)
             call(client, HttpMethod.POST, "/sort/$job", job, CALLER_KEY, body).status().code()
         },
         results = { job -> resultsOf(call(client, HttpMethod.GET, "/mulberrypin/lots/$job?after=0", "", CALLER_KEY)) },
@@ -78,7 +78,8 @@
     return root.getValue("results").jsonArray.map { it.jsonObject }
 }
 
-private fun submissionOf(
+/** A job of one model as a trainer submits it. */
+public fun submissionText(
     tasks: Int,
     minimumVersion: Int,
 ): String {
