Go on with texts that were begun when a job changes hands or its trainer asks again

Ruled out: engine speed (30 ms an event throughout), refusals of engines (the tasks were sent within 0.3 s).

Change: twice a second, an owner saves the events that came since its last save, on the condition that the job's row is its own. A part counts for a new owner if it goes on where the one before ended and no earlier owner wrote it after a later one. A job that is released takes its newest parts along. Texts of groups that were incomplete at the end of a job stay in memory for 24 s and are gone on with if the request is the same and all versions suit.

Test: CarriedTasksTest failed 2 of 5 on the code before (the one on what is kept did not exist); SaveProgressTest cannot be compiled there. The model of JobInterleavingsTest now tells runs of engines apart and checks that no text goes on in a run that was not asked to.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DecideTraffic.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DecideTraffic.kt
@@ -52,6 +52,8 @@
         is TrafficEvent.JobLoadFailed -> acceptLoadFailure(event)
         is TrafficEvent.ResultsWritten -> acceptWritten(event, nowMilliseconds)
         is TrafficEvent.ResultsNotWritten -> acceptNotWritten(event, nowMilliseconds)
+        is TrafficEvent.ProgressSaved -> acceptSaved(event)
+        is TrafficEvent.ProgressNotSaved -> acceptNotSaved(event)
     }
 
 private fun TrafficState.decideTask(
@@ -102,9 +104,11 @@
     nowMilliseconds: Long,
     wallMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> =
-    continueRequests(nowMilliseconds)
+    forgetCarried(nowMilliseconds)
+        .continueRequests(nowMilliseconds)
         .andThen { it.breakSilentTasks(nowMilliseconds) }
         .andThen { it.continueJobs(nowMilliseconds, wallMilliseconds) }
         .andThen { it.loadOwnJobs(nowMilliseconds) }
         .andThen { it.takeOverJobs(nowMilliseconds) }
         .andThen { it.dispatchTasks(nowMilliseconds) }
+        .andThen { it.saveProgress(nowMilliseconds) }
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunJobs.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunJobs.kt
@@ -60,7 +60,8 @@
     if (!isOwn(event.record) || event.record.ended) return dropJob(id, "ended or owned by ${event.record.owner}")
     val listed = event.listed.toSet()
     val job = if (known == null) {
-        newJob(event, listed)
+        val fresh = newJob(event, listed)
+        fresh.copy(tasks = carried.continueIn(event.record.team, event.submission, fresh.tasks))
     } else {
         known.copy(
             record = event.record,
@@ -75,7 +76,8 @@
         id,
         "job loaded",
         identity.name,
-        "version=${event.version} tasks=${job.tasks.size} listed=${job.listed}",
+        "version=${event.version} tasks=${job.tasks.size} listed=${job.listed} " +
+            "begun=${job.tasks.values.count { it.phase != TaskPhase.DONE && it.lastEvent > 0 }}",
     )
     val noted = Transition<TrafficState, TrafficEffect>(
         copy(jobs = jobs.put(id, job), loading = loading.remove(id)),
@@ -93,8 +95,9 @@
 private fun newJob(
     event: TrafficEvent.JobLoaded,
     listed: Set<String>,
-): RunningJob =
-    RunningJob(
+): RunningJob {
+    val saved = event.parts.groupBy { it.task }
+    return RunningJob(
         record = event.record,
         version = event.version,
         submission = event.submission,
@@ -102,14 +105,14 @@
         tasks = event.submission.tasks
             .associate { task ->
                 val phase = if (task.id in listed) TaskPhase.DONE else TaskPhase.WAITING
-                task.id to TaskProgress(task, event.lengthHints[task.id] ?: 0, phase)
+                val fresh = TaskProgress(task, event.lengthHints[task.id] ?: 0, phase)
+                val parts = saved[task.id].orEmpty()
+                task.id to if (phase == TaskPhase.DONE) fresh else fresh.restored(parts)
             }.toPersistentMap(),
         listed = event.listed.size,
         unlisted = persistentListOf(),
     )
-
-internal fun TrafficState.isOwn(record: JobRecord): Boolean =
-    record.owner == identity.name && record.ownerIncarnation == identity.incarnation
+}
 
 /** Loads a job that this instance owns and does not run yet, unless it is being loaded. */
 private fun TrafficState.loadOwn(
@@ -135,16 +138,6 @@
     return result
 }
 
-/**
- * The instance that runs a new job. All jobs of a model go to one instance, which then knows what each engine of the
- * model has in hand and keeps few connections to it.
- */
-private fun TrafficState.ownerOf(record: JobRecord): LiveInstance =
-    heirOf(record) ?: LiveInstance(identity.name, identity.incarnation)
-
-private fun TrafficState.heirOf(record: JobRecord): LiveInstance? =
-    liveInstances.maxByOrNull { mix(mix(0, record.model), it.name) }
-
 /** Stops running a job; its open connections to engines are closed. */
 internal fun TrafficState.dropJob(
     id: String,
@@ -211,7 +204,8 @@
         }
 
         record.ended || !isOwn(record) -> {
-            dropJob(record.id, "ended=${record.ended} owner=${record.owner}")
+            val kept = if (record.ended) carryOver(job, nowMilliseconds) else this
+            kept.dropJob(record.id, "ended=${record.ended} owner=${record.owner}")
         }
 
         job.writing > 0 || job.reloading -> {
@@ -335,39 +329,6 @@
     return expiry > 0 && age >= expiry + EXPIRY_SLACK_MILLISECONDS
 }
 
-/** Takes over jobs whose owner is gone and for which this instance is the next. */
-internal fun TrafficState.takeOverJobs(nowMilliseconds: Long): Transition<TrafficState, TrafficEffect> {
-    val isEarly = nowMilliseconds - lastTakeoverMilliseconds < TAKEOVER_PAUSE_MILLISECONDS
-    if (draining || isEarly || liveInstances.none { it.name == identity.name }) return Transition(this)
-    val orphans = records.values.filter { isOrphan(it.record) && heirOf(it.record)?.name == identity.name }
-    if (orphans.isEmpty()) return Transition(this)
-    return Transition(
-        copy(lastTakeoverMilliseconds = nowMilliseconds),
-        orphans.flatMap { known ->
-            val inputs = "owner=${known.record.owner} version=${known.version} live=${liveInstances.size}"
-            val owned = known.record.copy(owner = identity.name, ownerIncarnation = identity.incarnation)
-            listOf(
-                TrafficEffect.Explain(known.record.id, "taking job over", identity.name, inputs),
-                TrafficEffect.TakeOverJob(owned, known.version),
-            )
-        },
-    )
-}
-
-private fun TrafficState.isOrphan(record: JobRecord): Boolean =
-    !record.ended && !record.complete && !isOwn(record) &&
-        liveInstances.none { it.name == record.owner && it.incarnation == record.ownerIncarnation }
-
-internal fun TrafficState.releaseJobs(): Transition<TrafficState, TrafficEffect> {
-    var result = Transition<TrafficState, TrafficEffect>(this)
-    for (job in jobs.values) {
-        val release = TrafficEffect.ReleaseJob(job.record.copy(owner = "", ownerIncarnation = 0), job.version)
-        result = result.andThen { it.dropJob(job.record.id, "shutting down") }
-        result = result.copy(effects = result.effects + release)
-    }
-    return result
-}
-
 /** Results in one write; the store takes 100 rows in one transaction, and a result may take several. */
 private const val LARGEST_WRITE = 12
 
@@ -379,6 +340,3 @@
 
 /** Slack for clocks of the time of day that differ between instances, in milliseconds. */
 private const val EXPIRY_SLACK_MILLISECONDS = 1_000L
-
-/** Pause between two attempts to take jobs over, in milliseconds. */
-private const val TAKEOVER_PAUSE_MILLISECONDS = 500L
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
@@ -244,7 +244,7 @@
     val version = part.version ?: currentVersion
     return copy(
         lastEvent = part.id,
-        text = text.add(part.data),
+        text = text.add(TextPiece(part.id, part.data)),
         versions = versions + version,
         currentVersion = version,
     )
@@ -268,7 +268,7 @@
     nowMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> {
     val freed = copy(backends = backends.changed(task.server.orEmpty()) { it.released().succeeded() })
-    val scoring = task.copy(phase = TaskPhase.SCORING, notBeforeMilliseconds = 0)
+    val scoring = task.copy(phase = TaskPhase.SCORING, notBeforeMilliseconds = 0, isTextComplete = true)
     val inputs = "events=${task.lastEvent} weights=${task.versions.sorted()} attempts=${task.attempt}"
     val explanation = TrafficEffect.Explain(task.task.id, "text complete", task.server.orEmpty(), inputs)
     return Transition<TrafficState, TrafficEffect>(freed.withTask(job, scoring), listOf(explanation))
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunningJob.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunningJob.kt
@@ -16,6 +16,8 @@
  * @property listed number of results that the store has
  * @property unlisted results that wait to be written, oldest first
  * @property writing number of results in the write under way; 0 when there is none
+ * @property isSaving true while a save of the progress of tasks is under way
+ * @property savedMilliseconds when the last save began
  * @property reloading true while the rows of the job are read again, since the outcome of a write is not known
  */
 public data class RunningJob(
@@ -29,6 +31,8 @@
     val writing: Int = 0,
     val reloading: Boolean = false,
     val reloadMilliseconds: Long = 0,
+    val isSaving: Boolean = false,
+    val savedMilliseconds: Long = 0,
 )
 
 /** How far a task is. */
@@ -52,9 +56,12 @@
  * @property lengthHint expected number of output tokens; 0 when unknown
  * @property attempt number of the current or last attempt
  * @property lastEvent number of the last event that arrived
+ * @property savedEvent number of the last event that the store has
+ * @property text data of the events, in order
  * @property currentVersion version of the weights that generates the events of the current attempt
  * @property errors answers of status 500
  * @property heardMilliseconds when the engine was last heard
+ * @property isTextComplete true once an engine has ended the stream properly
  */
 public data class TaskProgress(
     val task: JobTask,
@@ -64,9 +71,17 @@
     val server: String? = null,
     val notBeforeMilliseconds: Long = 0,
     val lastEvent: Long = 0,
-    val text: PersistentList<String> = persistentListOf(),
+    val savedEvent: Long = 0,
+    val text: PersistentList<TextPiece> = persistentListOf(),
     val versions: Set<Long> = emptySet(),
     val currentVersion: Long = 0,
     val errors: Int = 0,
     val heardMilliseconds: Long = 0,
+    val isTextComplete: Boolean = false,
+)
+
+/** Data of one event, or of several that were restored together; [lastEvent] is the number of the last of them. */
+public data class TextPiece(
+    val lastEvent: Long,
+    val data: String,
 )
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/Scorings.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/Scorings.kt
@@ -41,7 +41,7 @@
     TaskResult(
         id = task.task.id,
         state = TaskState.COMPLETED,
-        text = task.text.joinToString("\n"),
+        text = task.text.joinToString("\n") { it.data },
         versions = task.versions.sorted(),
         score = score,
     )
@@ -50,7 +50,7 @@
     TaskResult(
         id = task.task.id,
         state = TaskState.FAILED,
-        text = task.text.joinToString("\n"),
+        text = task.text.joinToString("\n") { it.data },
         versions = task.versions.sorted(),
     )
 
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEffect.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEffect.kt
@@ -4,6 +4,7 @@
 import org.mulberrypin.schema.generated.JobSubmission
 import org.mulberrypin.schema.generated.JobTask
 import org.mulberrypin.schema.generated.ScoringCall
+import org.mulberrypin.schema.generated.TaskPart
 
 /** What the traffic duty carries out. */
 public sealed interface TrafficEffect {
@@ -70,10 +71,16 @@
         val record: JobRecord,
     ) : JobEffect
 
-    /** Give up a job, so that another instance takes it over. */
+    /** Give up a job, so that another instance takes it over and goes on from [parts] and what was saved before. */
     public data class ReleaseJob(
         val record: JobRecord,
         val version: Long,
+        val parts: List<TaskPart>,
+    ) : JobEffect
+
+    /** Save what has arrived of tasks that are not done. */
+    public data class SaveProgress(
+        val batch: ProgressBatch,
     ) : JobEffect
 
     /** Write results. */
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEvent.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEvent.kt
@@ -4,6 +4,7 @@
 import org.mulberrypin.schema.generated.JobRecord
 import org.mulberrypin.schema.generated.JobSubmission
 import org.mulberrypin.schema.generated.ServingConfiguration
+import org.mulberrypin.schema.generated.TaskPart
 import org.mulberrypin.schema.generated.TaskResult
 
 /** What the traffic duty is told. */
@@ -97,13 +98,18 @@
         val rows: List<JobRow>,
     ) : JobEvent
 
-    /** A job of another instance was taken over, or a job's rows were read again. */
+    /**
+     * A job of another instance was taken over, or a job's rows were read again.
+     *
+     * @property parts saved parts of tasks, in the order of their first events
+     */
     public data class JobLoaded(
         val record: JobRecord,
         val version: Long,
         val submission: JobSubmission,
         val lengthHints: Map<String, Long>,
         val listed: List<String>,
+        val parts: List<TaskPart> = emptyList(),
     ) : JobEvent
 
     /** A job could not be loaded. */
@@ -124,6 +130,17 @@
         val detail: String,
     ) : JobEvent
 
+    /** A save of the progress of tasks took effect. */
+    public data class ProgressSaved(
+        val batch: ProgressBatch,
+    ) : JobEvent
+
+    /** A save of the progress of tasks took no effect, or may not have. */
+    public data class ProgressNotSaved(
+        val batch: ProgressBatch,
+        val detail: String,
+    ) : JobEvent
+
     /** An engine began to answer a task, or refused it. */
     public data class TaskAnswered(
         override val job: String,
@@ -194,3 +211,10 @@
     val firstPosition: Int,
     val results: List<TaskResult>,
 )
+
+/** Parts of tasks to save while the job's row has [version]. */
+public data class ProgressBatch(
+    val record: JobRecord,
+    val version: Long,
+    val parts: List<TaskPart>,
+)
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficState.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficState.kt
@@ -12,6 +12,7 @@
  * @property records batch jobs of all instances as the store last showed them
  * @property jobs batch jobs that this instance runs
  * @property loading jobs of this instance that are being loaded, with the time at which that began
+ * @property carried texts of ended jobs that a later job may continue, by task
  * @property liveInstances instances whose heartbeats are seen
  * @property nextInternal number of the next request that the instance itself makes; counts down, so that it never
  * meets a number of the front end
@@ -24,6 +25,7 @@
     val records: PersistentMap<String, KnownJob> = persistentMapOf(),
     val jobs: PersistentMap<String, RunningJob> = persistentMapOf(),
     val loading: PersistentMap<String, Long> = persistentMapOf(),
+    val carried: PersistentMap<String, CarriedTask> = persistentMapOf(),
     val liveInstances: List<LiveInstance> = emptyList(),
     val draining: Boolean = false,
     val nextInternal: Long = -1,
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/JobShell.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/JobShell.kt
@@ -2,6 +2,7 @@
 
 import org.mulberrypin.decisions.traffic.InstanceIdentity
 import org.mulberrypin.decisions.traffic.JobRow
+import org.mulberrypin.decisions.traffic.ProgressBatch
 import org.mulberrypin.decisions.traffic.ReplyStatus
 import org.mulberrypin.decisions.traffic.ResultBatch
 import org.mulberrypin.decisions.traffic.TrafficEffect
@@ -179,29 +180,47 @@
         submission: JobSubmission,
     ) {
         jobs.readAllResults(record.id) { outcome ->
+            when (outcome) {
+                is Outcome.Failure -> {
+                    tell(TrafficEvent.JobLoadFailed(record.id, outcome.fault.toString()))
+                }
+
+                is Outcome.Success -> {
+                    val listed = outcome.value.map { it.id }
+                    val hints = lengthHints(submission)
+                    loadProgress(TrafficEvent.JobLoaded(record, version, submission, hints, listed))
+                }
+            }
+        }
+    }
+
+    private fun loadProgress(loaded: TrafficEvent.JobLoaded) {
+        val job = loaded.record.id
+        jobs.readProgress(job) { outcome ->
             tell(
                 when (outcome) {
-                    is Outcome.Failure -> TrafficEvent.JobLoadFailed(record.id, outcome.fault.toString())
-
-                    is Outcome.Success -> TrafficEvent.JobLoaded(
-                        record,
-                        version,
-                        submission,
-                        lengthHints(submission),
-                        outcome.value.map { it.id },
-                    )
+                    is Outcome.Failure -> TrafficEvent.JobLoadFailed(job, outcome.fault.toString())
+                    is Outcome.Success -> loaded.copy(parts = outcome.value)
                 },
             )
         }
     }
 
     /** Leaves a job to the other instances. */
-    fun release(
-        record: JobRecord,
-        version: Long,
-    ) {
-        jobs.write(record, version) { outcome ->
-            if (outcome is Outcome.Failure) tell(TrafficEvent.JobLoadFailed(record.id, outcome.fault.toString()))
+    fun release(effect: TrafficEffect.ReleaseJob) {
+        jobs.write(effect.record, effect.version, effect.parts) { outcome ->
+            if (outcome is Outcome.Failure) {
+                tell(TrafficEvent.JobLoadFailed(effect.record.id, outcome.fault.toString()))
+            }
+        }
+    }
+
+    /** Saves the progress of tasks. */
+    fun saveProgress(batch: ProgressBatch) {
+        jobs.saveProgress(batch) { outcome ->
+            val isSaved = outcome is Outcome.Success && outcome.value is TransactionAnswer.Applied
+            val detail = if (outcome is Outcome.Failure) outcome.fault.toString() else "the job's row has changed"
+            tell(if (isSaved) TrafficEvent.ProgressSaved(batch) else TrafficEvent.ProgressNotSaved(batch, detail))
         }
     }
 
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/JobStore.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/JobStore.kt
@@ -4,6 +4,7 @@
  */
 package org.mulberrypin.service.deployment
 
+import org.mulberrypin.decisions.traffic.ProgressBatch
 import org.mulberrypin.decisions.traffic.ResultBatch
 import org.mulberrypin.platform.deployment.Answer
 import org.mulberrypin.platform.deployment.NEXT_CHARACTER
@@ -14,11 +15,13 @@
 import org.mulberrypin.platform.deployment.RowWrite
 import org.mulberrypin.platform.deployment.StoredRow
 import org.mulberrypin.platform.deployment.TransactionAnswer
+import org.mulberrypin.platform.deployment.readAllRows
 import org.mulberrypin.runtime.Fault
 import org.mulberrypin.runtime.FaultKind
 import org.mulberrypin.runtime.Outcome
 import org.mulberrypin.runtime.map
 import org.mulberrypin.schema.generated.JobRecord
+import org.mulberrypin.schema.generated.TaskPart
 import org.mulberrypin.schema.generated.TaskResult
 
 /** A job's row. */
@@ -56,19 +59,46 @@
         }
     }
 
-    /** Writes a job's row on the condition that it still has [version]; 0 stands for a job that does not exist. */
+    /**
+     * Writes a job's row on the condition that it still has [version], and [parts] of its tasks with it; 0 stands for a
+     * job that does not exist.
+     */
     fun write(
         record: JobRecord,
         version: Long,
+        parts: List<TaskPart> = emptyList(),
         answer: Answer<TransactionAnswer>,
     ) = store.transact(
         RowTransaction(
-            conditions = listOf(RowCondition(StoreTables.JOBS, partitionOf(record.id), record.id, version)),
-            writes = listOf(jobWrite(record)),
+            conditions = listOf(unchanged(record, version)),
+            writes = parts.map { partWrite(record, it) } + jobWrite(record),
         ),
         answer,
     )
 
+    /** Saves parts of tasks; nothing is written unless the job's row is unchanged. */
+    fun saveProgress(
+        batch: ProgressBatch,
+        answer: Answer<TransactionAnswer>,
+    ) = store.transact(
+        RowTransaction(
+            conditions = listOf(unchanged(batch.record, batch.version)),
+            writes = batch.parts.map { partWrite(batch.record, it) },
+        ),
+        answer,
+    )
+
+    /** Reads the saved parts of a job's tasks; a part that cannot be read is left out, and what follows it with it. */
+    fun readProgress(
+        job: String,
+        answer: Answer<List<TaskPart>>,
+    ) {
+        val range = RowRange(StoreTables.PROGRESS, partitionOf(job), "$job/", keysEnd(job))
+        store.readAllRows(range) { rows ->
+            answer(rows.map { found -> found.mapNotNull { log.decodeRecord(it, TaskPart.serializer()) } })
+        }
+    }
+
     /** Writes results behind those that are listed; nothing is written unless the job's row is unchanged. */
     fun writeResults(
         batch: ResultBatch,
@@ -85,7 +115,7 @@
         val first = resultKey(job, batch.firstPosition, 0)
         val transaction = RowTransaction(
             conditions = listOf(
-                RowCondition(StoreTables.JOBS, partition, job, batch.version),
+                unchanged(batch.record, batch.version),
                 RowCondition(StoreTables.RESULTS, partition, first, 0),
             ),
             writes = rows + completion,
@@ -103,7 +133,7 @@
             StoreTables.RESULTS,
             partitionOf(job),
             resultKey(job, position, 0),
-            resultsEnd(job),
+            keysEnd(job),
             RESULT_ROWS,
         )
         store.readRows(range) { page ->
@@ -139,6 +169,19 @@
         }
     }
 
+    private fun unchanged(
+        record: JobRecord,
+        version: Long,
+    ) = RowCondition(StoreTables.JOBS, partitionOf(record.id), record.id, version)
+
+    private fun partWrite(
+        record: JobRecord,
+        part: TaskPart,
+    ): RowWrite {
+        val value = recordJson.encodeToString(TaskPart.serializer(), part)
+        return RowWrite(StoreTables.PROGRESS, partitionOf(record.id), partKey(record.id, part), value)
+    }
+
     private fun jobWrite(record: JobRecord): RowWrite {
         val value = recordJson.encodeToString(JobRecord.serializer(), record)
         return RowWrite(StoreTables.JOBS, partitionOf(record.id), record.id, value)
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/StoreTables.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/StoreTables.kt
@@ -2,6 +2,7 @@
 package org.mulberrypin.service.deployment
 
 import org.mulberrypin.schema.generated.JobRecord
+import org.mulberrypin.schema.generated.TaskPart
 
 /** Tables of the system's own. */
 internal object StoreTables {
@@ -11,6 +12,9 @@
     /** Results of jobs, in the partition of the job, under job, position and piece. */
     const val RESULTS = "results"
 
+    /** Parts of texts of tasks that are not done, in the partition of the job, under job, task and first event. */
+    const val PROGRESS = "progress"
+
     /** Heartbeats of the entry instances, under the instance's name. */
     const val INSTANCES = "instances"
 
@@ -37,8 +41,14 @@
     piece: Int,
 ): String = "%s/%06d/%03d".format(job, position, piece)
 
-/** The key after the last result of a job. */
-internal fun resultsEnd(job: String): String = "$job/~"
+/** The key of a part of a task's text. Keys of one task are ordered as its events are. */
+internal fun partKey(
+    job: String,
+    part: TaskPart,
+): String = "%s/%s/%06d".format(job, part.task, part.firstEvent)
+
+/** The key after the last result or part of a job. */
+internal fun keysEnd(job: String): String = "$job/~"
 
 /** The position in a result's key. */
 internal fun positionOf(key: String): Int = key.substringAfter('/').substringBefore('/').toInt()
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
@@ -222,8 +222,9 @@
             is TrafficEffect.AcceptJob -> reply(effect.request, CallerReply.Own(ReplyStatus.ACCEPTED, "accepted"))
             is TrafficEffect.TakeOverJob -> jobShell.takeOver(effect.record, effect.version)
             is TrafficEffect.ReloadJob -> jobShell.reload(effect.record)
-            is TrafficEffect.ReleaseJob -> jobShell.release(effect.record, effect.version)
+            is TrafficEffect.ReleaseJob -> jobShell.release(effect)
             is TrafficEffect.WriteResults -> jobShell.writeResults(effect.batch)
+            is TrafficEffect.SaveProgress -> jobShell.saveProgress(effect.batch)
             is TrafficEffect.RunTask -> runTask(effect)
             is TrafficEffect.CancelTask -> cancelTask.remove(effect.job to effect.task)?.invoke()
         }
