Take what an earlier process of the same instance held at once

Ruled out: the start itself (0.9 s) and the reading of the jobs (0.1 s).

Change: a name is used by one process at a time, so that a job or lease under this instance's name and another incarnation is left by an earlier process. It is taken at once, the job on the condition of its row, the lease under a larger fencing number.

Tests: RunJobsTest "takes the jobs of its earlier process before it has read a heartbeat", DecideLeaseTest "is taken at once under a larger fencing number". Not run against the code before.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/leases/DecideLease.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/leases/DecideLease.kt
@@ -119,11 +119,15 @@
     nowMilliseconds: Long,
 ): Boolean {
     val record = seen.row.record
-    val watched = when {
-        record == null || record.released -> 0
-        else -> terms.watchedMilliseconds(record.durationMilliseconds)
+    val watched = nowMilliseconds - seen.sinceMilliseconds
+    return when {
+        record == null || record.released -> watched >= terms.contentionMilliseconds
+
+        // A name is used by one process at a time, so this is the lease of an earlier process that has ended.
+        record.holder == terms.candidate -> true
+
+        else -> watched >= terms.watchedMilliseconds(record.durationMilliseconds) + terms.contentionMilliseconds
     }
-    return nowMilliseconds - seen.sinceMilliseconds >= watched + terms.contentionMilliseconds
 }
 
 private fun LeaseState.read(nowMilliseconds: Long): Transition<LeaseState, LeaseEffect> {
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/JobOwners.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/JobOwners.kt
@@ -18,11 +18,18 @@
 private fun TrafficState.heirOf(record: JobRecord): LiveInstance? =
     liveInstances.maxByOrNull { mix(mix(0, record.model), it.name) }
 
-/** Takes over jobs whose owner is gone and for which this instance is the next. */
+/**
+ * Takes over jobs whose owner is gone and for which this instance is the next. A name is used by one process at a time,
+ * so an instance that starts anew takes the jobs of its earlier process without waiting for a reading of heartbeats.
+ */
 internal fun TrafficState.takeOverJobs(nowMilliseconds: Long): Transition<TrafficState, TrafficEffect> {
     val isEarly = nowMilliseconds - lastTakeoverMilliseconds < TAKEOVER_PAUSE_MILLISECONDS
-    if (draining || isEarly || liveInstances.none { it.name == identity.name }) return Transition(this)
-    val orphans = records.values.filter { isOrphan(it.record) && heirOf(it.record)?.name == identity.name }
+    if (draining || isEarly) return Transition(this)
+    val isSeen = liveInstances.any { it.name == identity.name }
+    val orphans = records.values.filter { known ->
+        val isHeir = isSeen && isOrphan(known.record) && heirOf(known.record)?.name == identity.name
+        isHeir || isLeftByEarlierProcess(known.record)
+    }
     if (orphans.isEmpty()) return Transition(this)
     return Transition(
         copy(lastTakeoverMilliseconds = nowMilliseconds),
@@ -37,6 +44,9 @@
     )
 }
 
+private fun TrafficState.isLeftByEarlierProcess(record: JobRecord): Boolean =
+    !record.ended && !record.complete && !isOwn(record) && record.owner == identity.name
+
 private fun TrafficState.isOrphan(record: JobRecord): Boolean =
     !record.ended && !record.complete && !isOwn(record) &&
         liveInstances.none { it.name == record.owner && it.incarnation == record.ownerIncarnation }
--- a/decisions/src/test/kotlin/org/mulberrypin/decisions/leases/DecideLeaseTest.kt
+++ b/decisions/src/test/kotlin/org/mulberrypin/decisions/leases/DecideLeaseTest.kt
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.DisplayName
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
+import org.mulberrypin.schema.generated.LeaseRecord
 import strikt.api.expectThat
 import strikt.assertions.hasSize
 import strikt.assertions.isA
@@ -64,6 +65,34 @@
         }
     }
 
+    @Nested
+    @DisplayName("of a process that started anew")
+    inner class EarlierProcess {
+        private val terms = SimulatedProcess(1, rate = 1.0, random = Random(1)).state.terms.copy(incarnation = 2)
+
+        @Test
+        fun `is taken at once under a larger fencing number`() {
+            val write = firstWrite(leaseRecord("instance-1", 4))
+            expectThat(write?.record?.fencingNumber).isEqualTo(5)
+            expectThat(write?.expectedVersion).isEqualTo(7)
+        }
+
+        @Test
+        fun `is left alone while it names another candidate`() {
+            expectThat(firstWrite(leaseRecord("instance-2", 4))).isNull()
+        }
+
+        private fun firstWrite(record: LeaseRecord): LeaseEffect.WriteRow? {
+            val reading = decideLease(LeaseState(terms), LeaseEvent.Tick, 0).state
+            val read = decideLease(reading, LeaseEvent.RowRead(1, LeaseRow(7, record)), 10).state
+            return decideLease(
+                read,
+                LeaseEvent.Tick,
+                20,
+            ).effects.filterIsInstance<LeaseEffect.WriteRow>().singleOrNull()
+        }
+    }
+
     @Nested
     @DisplayName("whose write got no answer")
     inner class LostAnswer {
--- a/decisions/src/test/kotlin/org/mulberrypin/decisions/traffic/RunJobsTest.kt
+++ b/decisions/src/test/kotlin/org/mulberrypin/decisions/traffic/RunJobsTest.kt
@@ -227,6 +227,23 @@
         expectThat(world.single<TrafficEffect.TakeOverJob>().record.ownerIncarnation).isEqualTo(1)
     }
 
+    @Test
+    fun `takes the jobs of its earlier process before it has read a heartbeat`() {
+        val world = TrafficWorld()
+        world.tell(TrafficEvent.JobRowsSeen(listOf(JobRow("job-1", ownRecord(2).copy(ownerIncarnation = 0), 5))))
+        world.tell(TrafficEvent.Ticked)
+        expectThat(world.single<TrafficEffect.TakeOverJob>().version).isEqualTo(5)
+    }
+
+    @Test
+    fun `leaves a job that was ended to rest when its owner starts anew`() {
+        val world = TrafficWorld()
+        val ended = ownRecord(2).copy(ownerIncarnation = 0, ended = true)
+        world.tell(TrafficEvent.JobRowsSeen(listOf(JobRow("job-1", ended, 5))))
+        world.tell(TrafficEvent.Ticked)
+        expectThat(world.all<TrafficEffect.TakeOverJob>()).isEmpty()
+    }
+
     @Test
     fun `gives all jobs of a model to one live instance`() {
         val world = world()
