Write heartbeats twice a second up to 50 instances, a hundred a second in all

A period fixed at a second would also be 650 writes a second at the size the design is for.

Change: the period follows from the number of live instances, so that all of them together write a hundred heartbeats a second, and is half a second at least. Usage counts are still written once a second.

Test: WatchInstancesTest "lets all instances together write a hundred heartbeats a second at most".

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/instances/WatchInstances.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/instances/WatchInstances.kt
@@ -34,5 +34,16 @@
         .filter { it.unchangedReadings < MISSED_READINGS && !it.heartbeat.leaving }
         .map { it.heartbeat }
 
+/** Time between two heartbeats of an instance when [instances] are alive, so that all together stay within a budget. */
+public fun heartbeatMilliseconds(instances: Int): Long =
+    maxOf(SHORTEST_HEARTBEAT_MILLISECONDS, instances * MILLISECONDS_PER_SECOND / HEARTBEATS_PER_SECOND)
+
+/** Heartbeats a second of all instances together; an eighth of the writes that the smallest store of today takes. */
+private const val HEARTBEATS_PER_SECOND = 100L
+
+/** Shortest time between two heartbeats, in milliseconds; a sixth of the time in which a lease changes hands. */
+private const val SHORTEST_HEARTBEAT_MILLISECONDS = 500L
+private const val MILLISECONDS_PER_SECOND = 1_000L
+
 /** Readings without a new heartbeat after which an instance counts as gone; readings come once for each heartbeat. */
 private const val MISSED_READINGS = 3
--- a/decisions/src/test/kotlin/org/mulberrypin/decisions/instances/WatchInstancesTest.kt
+++ b/decisions/src/test/kotlin/org/mulberrypin/decisions/instances/WatchInstancesTest.kt
@@ -5,6 +5,8 @@
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
 import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
 
 class WatchInstancesTest {
     @Test
@@ -23,4 +25,12 @@
     }
 
     private fun heartbeat(sequence: Long) = InstanceHeartbeat("entry-1", 1, "zone-a", sequence)
+
+    @Test
+    fun `lets all instances together write a hundred heartbeats a second at most`() {
+        expectThat(heartbeatMilliseconds(1)).isEqualTo(500)
+        listOf(12, 76, 650).forEach { instances ->
+            expectThat(instances * 1_000.0 / heartbeatMilliseconds(instances)).isLessThanOrEqualTo(100.0)
+        }
+    }
 }
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/ControlDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/ControlDuty.kt
@@ -1,6 +1,7 @@
 package org.mulberrypin.service.deployment
 
 import org.mulberrypin.decisions.instances.InstanceWatch
+import org.mulberrypin.decisions.instances.heartbeatMilliseconds
 import org.mulberrypin.decisions.instances.liveInstances
 import org.mulberrypin.decisions.instances.read
 import org.mulberrypin.decisions.leases.LeaseEvent
@@ -66,7 +67,8 @@
     private var named = emptyList<NamedWeights>()
     private var heartbeats = 0L
     private var isLeaving = false
-    private var nextSlowTickMilliseconds = 0L
+    private var nextHeartbeatMilliseconds = 0L
+    private var nextUsageMilliseconds = 0L
     private var duty: Duty? = null
 
     fun start(): ControlDuty {
@@ -106,10 +108,13 @@
         lease.handle(LeaseEvent.Tick)
         decide(if (hold() == null) WeightEvent.DutyLost else WeightEvent.Ticked)
         val now = ports.clock.readMilliseconds()
-        if (now >= nextSlowTickMilliseconds) {
-            nextSlowTickMilliseconds = now + HEARTBEAT_MILLISECONDS
+        if (now >= nextHeartbeatMilliseconds) {
+            nextHeartbeatMilliseconds = now + heartbeatMilliseconds(watch.liveInstances().size)
             beat()
             readInstances()
+        }
+        if (now >= nextUsageMilliseconds) {
+            nextUsageMilliseconds = now + USAGE_MILLISECONDS
             usage.handle(UsageEvent.Ticked(ports.clock.readWallMilliseconds(), hold() != null))
         }
     }
@@ -225,8 +230,8 @@
         private const val TICK_MILLISECONDS = 250L
         private const val STOP_MILLISECONDS = 300L
 
-        /** Time between two heartbeats, in milliseconds: a third of the time in which a job changes hands. */
-        private const val HEARTBEAT_MILLISECONDS = 1_000L
+        /** Time between two writes of usage counts, in milliseconds: what the end of a process may lose of them. */
+        private const val USAGE_MILLISECONDS = 1_000L
 
         /** Longest time that an order or a report is under way, in milliseconds. */
         private const val LONGEST_CALL_MILLISECONDS = 800L
