Leave an engine alone while it goes on refusing, and send its tasks elsewhere

Cause: engines refuse what they have not started while they load weights, 0.9 s.

Change: an engine that refused a task as not run is avoided for 100 ms, then 200 and 400, until it starts a task or lists other weights; a refused task goes to another engine at once. An error of a run still pauses the task for 100 ms.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/Backend.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/Backend.kt
@@ -9,6 +9,7 @@
  *
  * @property inFlight requests and tasks that this instance has sent and that are not over
  * @property failures failures in a row
+ * @property refusals tasks in a row that were refused as not run
  * @property avoidedUntilMilliseconds time before which others are preferred
  * @property load requests that the backend server last reported as running or waiting
  */
@@ -16,6 +17,7 @@
     val entry: BackendServerEntry,
     val inFlight: Int = 0,
     val failures: Int = 0,
+    val refusals: Int = 0,
     val avoidedUntilMilliseconds: Long = 0,
     val load: Int = 0,
     val loadMilliseconds: Long = Long.MIN_VALUE / 2,
@@ -32,11 +34,17 @@
     for (entry in entries) {
         val known = table[entry.id]
         val isSame = known != null && known.entry.startedWallMilliseconds == entry.startedWallMilliseconds
-        table = table.put(entry.id, if (isSame) known.copy(entry = entry) else Backend(entry))
+        table = table.put(entry.id, if (isSame) known.relisted(entry) else Backend(entry))
     }
     return table
 }
 
+/** An engine that lists other weights has ended its load, and takes tasks again. */
+private fun Backend.relisted(listed: BackendServerEntry): Backend {
+    val hasLoaded = refusals > 0 && listed.models != entry.models
+    return if (hasLoaded) copy(entry = listed, refusals = 0, avoidedUntilMilliseconds = 0) else copy(entry = listed)
+}
+
 internal fun PersistentMap<String, Backend>.changed(
     id: String,
     change: (Backend) -> Backend,
@@ -46,7 +54,7 @@
 
 internal fun Backend.released(): Backend = copy(inFlight = (inFlight - 1).coerceAtLeast(0))
 
-internal fun Backend.succeeded(): Backend = copy(failures = 0, avoidedUntilMilliseconds = 0)
+internal fun Backend.succeeded(): Backend = copy(failures = 0, refusals = 0, avoidedUntilMilliseconds = 0)
 
 /** Avoids the backend server for a time that doubles with each failure in a row. */
 internal fun Backend.failed(nowMilliseconds: Long): Backend {
@@ -59,6 +67,13 @@
 internal fun Backend.full(nowMilliseconds: Long): Backend =
     copy(avoidedUntilMilliseconds = maxOf(avoidedUntilMilliseconds, nowMilliseconds + FULL_PAUSE_MILLISECONDS))
 
+/** Avoids an engine that refused a task, as it does while it loads weights; refusals of one moment count once. */
+internal fun Backend.refusedTask(nowMilliseconds: Long): Backend {
+    if (avoidedUntilMilliseconds > nowMilliseconds) return this
+    val pause = REFUSED_PAUSE_MILLISECONDS shl refusals.coerceAtMost(REFUSED_DOUBLINGS)
+    return copy(refusals = refusals + 1, avoidedUntilMilliseconds = nowMilliseconds + pause)
+}
+
 /** Chooses for a request: preferably one that is not avoided, then the least busy, then the nearest. */
 internal fun chooseBackend(
     candidates: List<Backend>,
@@ -98,6 +113,12 @@
 /** Pause after a refusal for a full queue, in milliseconds: about the work of one short request. */
 private const val FULL_PAUSE_MILLISECONDS = 50L
 
+/** Pause after the first refusal of a task, in milliseconds; a tenth of the time that a load of weights takes. */
+private const val REFUSED_PAUSE_MILLISECONDS = 100L
+
+/** Doublings of the pause after refusals; the longest stays under half of a load of weights. */
+private const val REFUSED_DOUBLINGS = 2
+
 /** Age at which a load report says nothing any more, in milliseconds. */
 private const val LOAD_AGE_MILLISECONDS = 300L
 private const val OCCUPANCY_STEPS = 8
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
@@ -194,7 +194,8 @@
     return if (version < job.submission.minimumVersion) {
         breakTask(job, started, "weights=$version are too old", nowMilliseconds, cancel = true)
     } else {
-        Transition(withTask(job, started))
+        val taking = copy(backends = backends.changed(task.server.orEmpty()) { it.copy(refusals = 0) })
+        Transition(taking.withTask(job, started))
     }
 }
 
@@ -207,19 +208,24 @@
     val server = task.server.orEmpty()
     val detail = "status ${event.status}, notRun=${event.notRun}"
     val explanation = TrafficEffect.Explain(task.task.id, "attempt failed", server, detail)
-    val freed = copy(backends = backends.changed(server) { it.released().full(nowMilliseconds) })
+    val freed = copy(
+        backends = backends.changed(server) {
+            if (event.notRun) it.released().refusedTask(nowMilliseconds) else it.released().full(nowMilliseconds)
+        },
+    )
     val errors = task.errors + if (event.status == ReplyStatus.INTERNAL_ERROR) 1 else 0
     val limit = routing?.findRoute(job.record.host, task.task.path)?.attemptLimit ?: 1
     val isHopeless = !event.notRun && (event.status == ReplyStatus.UNPROCESSABLE || errors >= limit)
     val waiting = task.copy(
         phase = TaskPhase.WAITING,
         errors = errors,
-        notBeforeMilliseconds = nowMilliseconds + REFUSED_PAUSE_MILLISECONDS,
+        notBeforeMilliseconds = nowMilliseconds + if (event.notRun) 0 else ERROR_PAUSE_MILLISECONDS,
     )
     val next = if (isHopeless) {
         freed.finishTask(job, waiting, failed(waiting), nowMilliseconds)
     } else {
-        Transition(freed.withTask(job, waiting))
+        Transition<TrafficState, TrafficEffect>(freed.withTask(job, waiting))
+            .andThen { it.dispatchIfDue(job.record.id, task.task.id, nowMilliseconds) }
     }
     return next.copy(effects = listOf(explanation) + next.effects)
 }
@@ -338,8 +344,8 @@
     attempt: Int,
 ): TaskProgress? = tasks[task]?.takeIf { it.phase == TaskPhase.RUNNING && it.attempt == attempt }
 
-/** Pause after an engine refused a task, in milliseconds: about the work of one event. */
-private const val REFUSED_PAUSE_MILLISECONDS = 100L
+/** Pause after a task ran with an error, in milliseconds: about the work of three events. */
+private const val ERROR_PAUSE_MILLISECONDS = 100L
 
 /** Time within which the first event comes, also after a wait in the engine's queue, in milliseconds. */
 private const val FIRST_EVENT_MILLISECONDS = 2_500L
