Keep texts of single-version routes to one version of the weights; end an answer at an event that cannot be read

On the own interface, an event of an engine's stream that could not be read was passed over without a word, so that a text without it could count as whole.

An unreadable event ends the attempt as cut, with the fault as its detail.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
@@ -74,8 +74,9 @@
     val chosen = route?.let { chooseEngine(job, it, task, nowMilliseconds) }
     return when {
         route == null -> finishTask(job, task, failed(task), nowMilliseconds)
-        chosen == null -> Transition(this)
-        else -> sendTask(job, task, chosen, nowMilliseconds)
+        chosen != null -> sendTask(job, task, chosen, nowMilliseconds)
+        isStranded(job, route, task) -> restartTask(job, task, nowMilliseconds)
+        else -> Transition(this)
     }
 }
 
@@ -238,11 +239,19 @@
         val inOrder = event.events.withIndex().takeWhile { (index, part) -> part.id == before.lastEvent + 1 + index }
         val task = inOrder.fold(before) { task, (_, part) -> task.withEvent(part) }
         val stray = event.events.getOrNull(inOrder.size)
-        if (stray == null) {
-            Transition(withTask(job, task.copy(heardMilliseconds = nowMilliseconds)))
-        } else {
-            val detail = "event ${stray.id} after event ${task.lastEvent}"
-            breakTask(job, task, detail, nowMilliseconds, cancel = true)
+        when {
+            isMixed(job, task) -> {
+                restartTask(job, task, nowMilliseconds)
+            }
+
+            stray == null -> {
+                Transition(withTask(job, task.copy(heardMilliseconds = nowMilliseconds)))
+            }
+
+            else -> {
+                val detail = "event ${stray.id} after event ${task.lastEvent}"
+                breakTask(job, task, detail, nowMilliseconds, cancel = true)
+            }
         }
     }
 
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunningJob.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunningJob.kt
@@ -61,6 +61,7 @@
  * @property currentVersion version of the weights that generates the events of the current attempt
  * @property errors answers of status 500
  * @property heardMilliseconds when the engine was last heard
+ * @property restarts how often the text was begun anew
  * @property isTextComplete true once an engine has ended the stream properly
  */
 public data class TaskProgress(
@@ -77,6 +78,7 @@
     val currentVersion: Long = 0,
     val errors: Int = 0,
     val heardMilliseconds: Long = 0,
+    val restarts: Int = 0,
     val isTextComplete: Boolean = false,
 )
 
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/SaveProgress.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/SaveProgress.kt
@@ -64,6 +64,7 @@
         errors = errors,
         complete = isTextComplete && last == lastEvent,
         ownership = ownership,
+        restarts = restarts,
     )
 }
 
@@ -72,7 +73,8 @@
         ?: return Transition(this)
     var tasks = job.tasks
     for (part in event.batch.parts) {
-        tasks = tasks[part.task]?.let { tasks.put(part.task, it.copy(savedEvent = part.lastEvent)) } ?: tasks
+        val task = tasks[part.task]?.takeIf { it.restarts == part.restarts } ?: continue
+        tasks = tasks.put(part.task, task.copy(savedEvent = part.lastEvent))
     }
     return Transition(copy(jobs = jobs.put(job.record.id, job.copy(isSaving = false, tasks = tasks))))
 }
@@ -90,14 +92,16 @@
 
 /**
  * Starts a task from its saved parts, in the order of their first events. A part counts when it goes on where the one
- * before ended and was not written by an earlier owner than that one; anything else is left of a replaced text.
+ * before ended, belongs to the same text and was not written by an earlier owner than that one; anything else is left
+ * of a replaced text.
  */
 internal fun TaskProgress.restored(parts: List<TaskPart>): TaskProgress {
     var ownership = 0L
     var progress = this
     for (part in parts) {
+        val isSameText = part.firstEvent == 1L || part.restarts == progress.restarts
         val isNext = part.firstEvent == progress.lastEvent + 1 && part.ownership >= ownership
-        if (!isNext || progress.isTextComplete) continue
+        if (!isSameText || !isNext || progress.isTextComplete) continue
         ownership = part.ownership
         progress = progress.with(part)
     }
@@ -114,6 +118,7 @@
         versions = part.versions.toSet(),
         currentVersion = part.currentVersion,
         errors = part.errors,
+        restarts = part.restarts,
         isTextComplete = part.complete,
     )
 }
--- a/service/src/main/kotlin/org/mulberrypin/service/requests/CompletionSubscriber.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/requests/CompletionSubscriber.kt
@@ -7,6 +7,7 @@
 import com.linecorp.armeria.common.ResponseHeaders
 import org.mulberrypin.decisions.requests.AttemptEnding
 import org.mulberrypin.decisions.requests.RequestReply
+import org.mulberrypin.runtime.Fault
 import org.mulberrypin.runtime.Outcome
 import org.mulberrypin.runtime.parseWireJson
 import org.mulberrypin.schema.generated.CompletionChunk
@@ -28,6 +29,7 @@
     private var finishReason: String? = null
     private var promptTokens = 0L
     private var ended = false
+    private var unreadable: Fault? = null
 
     override fun onSubscribe(subscription: Subscription) {
         this.subscription = subscription
@@ -77,22 +79,37 @@
             subscription.request(1)
             return
         }
+        if (ended) return
         val parts = events.add(data.array()).mapNotNull(::acceptEvent)
         if (parts.isEmpty()) subscription.request(1) else listener.onParts(parts) { subscription.request(1) }
-        if (ended) listener.onFinished(finishReason ?: UNKNOWN_REASON, promptTokens)
+        val fault = unreadable
+        when {
+            fault != null -> listener.onBroken(AttemptEnding.CUT, fault.toString())
+            ended -> listener.onFinished(finishReason ?: UNKNOWN_REASON, promptTokens)
+        }
     }
 
+    /** Events behind the end mark or behind one that cannot be read are not taken. */
     private fun acceptEvent(event: String): RequestReply.Part? {
+        if (ended) return null
         if (event == END_MARK) {
             ended = true
             return null
         }
         return when (val chunk = parseWireJson(event, CompletionChunk.serializer(), "completion chunk", address)) {
             is Outcome.Success -> acceptChunk(chunk.value)
-            is Outcome.Failure -> null
+            is Outcome.Failure -> endUnreadable(chunk.fault)
         }
     }
 
+    /** An event that cannot be read may hold a part of the text, so the answer cannot become whole any more. */
+    private fun endUnreadable(fault: Fault): RequestReply.Part? {
+        ended = true
+        unreadable = fault
+        subscription.cancel()
+        return null
+    }
+
     private fun acceptChunk(chunk: CompletionChunk): RequestReply.Part? {
         chunk.usage?.let { promptTokens = it.promptTokens }
         val choice = chunk.choices.firstOrNull() ?: return null
--- a/service/src/test/kotlin/org/mulberrypin/service/deployment/JobFleet.kt
+++ b/service/src/test/kotlin/org/mulberrypin/service/deployment/JobFleet.kt
@@ -31,7 +31,7 @@
         return askedAfter.lastIndex
     }
 
-    /** Events of a task's text that do not follow the one before in the same run, nor begin a run asked to go on there. */
+    /** Events of a text that neither follow the one before in its run nor begin a run that was asked to go on there. */
     fun misplaced(
         task: String,
         text: String,
--- /dev/null
+++ b/service/src/test/kotlin/org/mulberrypin/service/requests/CompletionSubscriberTest.kt
@@ -0,0 +1,65 @@
+package org.mulberrypin.service.requests
+
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.ResponseHeaders
+import org.junit.jupiter.api.Test
+import org.mulberrypin.decisions.requests.AttemptEnding
+import org.reactivestreams.Subscription
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+
+class CompletionSubscriberTest {
+    private val texts = ArrayList<String>()
+    private val endings = ArrayList<String>()
+    private var cancelled = 0
+    private val listener = BackendListener(
+        onParts = { parts, _ -> texts.addAll(parts.map { it.text }) },
+        onPlainAnswer = { endings.add("plain") },
+        onFinished = { reason, _ -> endings.add(reason) },
+        onBroken = { ending, _ -> endings.add(ending.name) },
+    )
+    private val subscriber = CompletionSubscriber("10.0.0.1:80", listener).apply {
+        onSubscribe(
+            object : Subscription {
+                override fun request(count: Long) = Unit
+
+                override fun cancel() {
+                    cancelled++
+                }
+            },
+        )
+        onNext(ResponseHeaders.of(HttpStatus.OK))
+    }
+
+    @Test
+    fun `hands on the parts of an answer up to its end mark`() {
+        receive(chunk("a"), chunk("b"), "data: [DONE]")
+        expectThat(texts).containsExactly("a", "b")
+        expectThat(endings).containsExactly("stop")
+    }
+
+    @Test
+    fun `counts an answer as cut at an event that cannot be read`() {
+        receive(chunk("a"), "data: {\"choices\":[{", chunk("c"), "data: [DONE]")
+        expectThat(texts).containsExactly("a")
+        expectThat(endings).containsExactly(AttemptEnding.CUT.name)
+        expectThat(cancelled).isEqualTo(1)
+    }
+
+    @Test
+    fun `says nothing more after an event that could not be read`() {
+        receive("data: ?")
+        receive(chunk("b"), "data: [DONE]")
+        subscriber.onComplete()
+        expectThat(texts).isEmpty()
+        expectThat(endings).containsExactly(AttemptEnding.CUT.name)
+    }
+
+    private fun receive(vararg lines: String) =
+        subscriber.onNext(HttpData.ofUtf8(lines.joinToString("") { "$it\n\n" }))
+
+    private fun chunk(text: String) = """data: {"choices":[{"text":"$text","tokens":1}]}"""
+}
