--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/load/RunTrainer.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/load/RunTrainer.kt
@@ -45,6 +45,7 @@
             doubled = tally.doubled,
             crossed = tally.crossed,
             damaged = tally.damaged,
+            damages = tally.damages,
             stale = tally.stale,
             unnamed = tally.unnamed,
             largestStaleness = tally.largestStaleness,
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/load/SampleTally.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/load/SampleTally.kt
@@ -1,8 +1,10 @@
 /** Checks the samples of a trainer as they arrive. Pure, so that the checks themselves can be tested. */
 package org.mulberrypin.standins.load
 
+import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
 import org.mulberrypin.schema.generated.Batch
@@ -10,10 +12,12 @@
 import org.mulberrypin.schema.generated.StepRequest
 import org.mulberrypin.standins.text.AnswerCheck
 import org.mulberrypin.standins.text.checkAnswer
+import org.mulberrypin.standins.text.describeDifference
 
 /**
  * @property names names of all samples that were delivered
  * @property acknowledged number of the last batch that was taken of each step, by step
+ * @property damages how the first damaged samples differ from their whole answers, at most [LISTED_DAMAGES]
  * @property groupSamples samples that came of each group, by step and group
  */
 internal data class SampleTally(
@@ -23,6 +27,7 @@
     val doubled: Long = 0,
     val crossed: Long = 0,
     val damaged: Long = 0,
+    val damages: PersistentList<String> = persistentListOf(),
     val stale: Long = 0,
     val unnamed: Long = 0,
     val largestStaleness: Long = 0,
@@ -58,12 +63,19 @@
     val isSurplus = sample.sample in names || group == null || came > group.samples
     if (isSurplus) return copy(doubled = doubled + 1)
     val check = checkAnswer(group.prompt, sample.text, step.maxTokens)
+    val isDamaged = check == AnswerCheck.DAMAGED || check == AnswerCheck.DOUBLED
+    val difference = if (isDamaged) describeDifference(group.prompt, sample.text, step.maxTokens) else ""
     val staleness = sample.spans.maxOfOrNull { batch.trainerVersion - it.weightVersion } ?: 0
     return copy(
         names = names.add(sample.sample),
         groupSamples = groupSamples.put(key, came),
         crossed = crossed + countIf(check == AnswerCheck.CROSSED),
-        damaged = damaged + countIf(check == AnswerCheck.DAMAGED || check == AnswerCheck.DOUBLED),
+        damaged = damaged + countIf(isDamaged),
+        damages = if (isDamaged && damages.size < LISTED_DAMAGES) {
+            damages.add("${sample.sample} spans=${sample.spans}: $difference")
+        } else {
+            damages
+        },
         stale = stale + countIf(staleness > step.stalenessBound),
         unnamed = unnamed + countIf(sample.spans.sumOf { it.tokens } != sample.tokens || sample.tokens == 0L),
         largestStaleness = maxOf(largestStaleness, staleness),
@@ -76,3 +88,6 @@
 ): String = "${step.step}/$group"
 
 private fun countIf(condition: Boolean): Long = if (condition) 1 else 0
+
+/** Damaged samples that a report describes. */
+private const val LISTED_DAMAGES = 8
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/load/TrainerReport.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/load/TrainerReport.kt
@@ -10,6 +10,7 @@
  * @property doubled samples that were delivered again, or beyond the number asked for
  * @property crossed samples whose text answers another prompt
  * @property damaged samples whose text is not a whole answer
+ * @property damages how the first damaged samples differ from their whole answers
  * @property stale samples with a weight version older than the bound permits
  * @property unnamed samples whose spans do not name a version for every token
  * @property largestStaleness largest difference between the trainer's version and one in a sample
@@ -25,6 +26,7 @@
     val doubled: Long,
     val crossed: Long,
     val damaged: Long,
+    val damages: List<String>,
     val stale: Long,
     val unnamed: Long,
     val largestStaleness: Long,
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/text/AnswerCheck.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/text/AnswerCheck.kt
@@ -43,6 +43,25 @@
     }
 }
 
+/** Says where [text] leaves the whole answer to [prompt] that begins with the same seed. */
+internal fun describeDifference(
+    prompt: String,
+    text: String,
+    maxTokens: Int?,
+): String {
+    val words = text.split(' ')
+    val seed = words
+        .first()
+        .removePrefix(SEED_MARK)
+        .toULongOrNull(RADIX)
+        ?.toLong() ?: return "no seed in front of '${text.take(SHOWN_CHARACTERS)}'"
+    val expected = generatedAnswer(prompt, seed, maxTokens).text.split(' ')
+    val same = words.zip(expected).takeWhile { (found, whole) -> found == whole }.size
+    val found = words.drop(same).take(SHOWN_WORDS)
+    return "$same of ${expected.size} tokens as expected, ${words.size} in all, then $found " +
+        "instead of ${expected.drop(same).take(SHOWN_WORDS)}"
+}
+
 private fun compare(
     expected: GeneratedAnswer,
     text: String,
@@ -53,3 +72,6 @@
         tokens > expected.tokens -> AnswerCheck.DOUBLED
         else -> AnswerCheck.DAMAGED
     }
+
+private const val SHOWN_WORDS = 4
+private const val SHOWN_CHARACTERS = 40
