Soak entry instances as processes under seeded faults of links, signals and the store

Callers and trainers check the promises meanwhile. Stand-ins of engines can stream at a pace and say which run made an event.

--- /dev/null
+++ b/command/src/test/kotlin/org/mulberrypin/command/soak/SoakCaller.kt
@@ -0,0 +1,104 @@
+package org.mulberrypin.command.soak
+
+import com.linecorp.armeria.client.WebClient
+import com.linecorp.armeria.common.AggregatedHttpResponse
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpMethod
+import com.linecorp.armeria.common.HttpRequest
+import com.linecorp.armeria.common.RequestHeaders
+import org.mulberrypin.standins.deployment.CALLER_KEY
+import org.mulberrypin.standins.deployment.ROUTE_HOST
+import java.util.concurrent.CompletionException
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ConcurrentLinkedQueue
+import kotlin.random.Random
+
+/** What broke a promise, as callers and backend servers saw it. */
+internal typealias Findings = ConcurrentLinkedQueue<String>
+
+/** Calls any instance that listens, over connections that stay open until the instance is gone. */
+internal class SoakConnections(
+    private val ports: () -> List<Int>,
+    seed: Long,
+) {
+    private val random = Random(seed)
+    private val clients = ConcurrentHashMap<Int, WebClient>()
+
+    /** The answer of an instance drawn by chance; null when none listens or the connection ended without one. */
+    fun call(
+        method: HttpMethod,
+        path: String,
+        id: String,
+        body: String = "body",
+    ): AggregatedHttpResponse? {
+        val port = ports().randomOrNull(random) ?: return null
+        val client = clients.computeIfAbsent(port) { WebClient.of("h1c://127.0.0.1:$it") }
+        val headers = RequestHeaders
+            .builder(method, path)
+            .authority(ROUTE_HOST)
+            .set("authorization", "Bearer $CALLER_KEY")
+        if (id.isNotEmpty()) headers.set("mulberrypin-request-id", id)
+        return try {
+            client.execute(HttpRequest.of(headers.build(), HttpData.ofUtf8(body))).aggregate().join()
+        } catch (_: CompletionException) {
+            null
+        }
+    }
+}
+
+/** Sends plain requests one after the other and checks each answer. */
+internal class SoakCaller(
+    private val name: String,
+    private val connections: SoakConnections,
+    private val findings: Findings,
+) {
+    /** Identifiers that were refused as not run. */
+    val notRun = ArrayList<String>()
+    var answered = 0
+        private set
+
+    fun runWhile(goesOn: () -> Boolean) {
+        var number = 0
+        while (goesOn()) {
+            number++
+            send("$name-$number")
+            Thread.sleep(PAUSE_MILLISECONDS)
+        }
+    }
+
+    private fun send(id: String) {
+        val answer = connections.call(HttpMethod.POST, "/orders/1", id) ?: return
+        when (val status = answer.status().code()) {
+            OK -> checkAnswer(id, answer)
+            UNAVAILABLE -> checkRefusal(id, answer)
+            BAD_GATEWAY, GATEWAY_TIMEOUT -> Unit
+            else -> findings.add("$id: status $status for a proper request")
+        }
+    }
+
+    private fun checkAnswer(
+        id: String,
+        answer: AggregatedHttpResponse,
+    ) {
+        answered++
+        val isWhole = answer.contentUtf8() == "answer to $id" &&
+            answer.headers().get("mulberrypin-response-seal") == "signature-$id"
+        if (!isWhole) findings.add("$id: the answer is '${answer.contentUtf8()}'")
+    }
+
+    private fun checkRefusal(
+        id: String,
+        answer: AggregatedHttpResponse,
+    ) {
+        notRun.add(id)
+        if (!answer.headers().contains("retry-after")) findings.add("$id: refused without a time to come back")
+    }
+
+    private companion object {
+        private const val PAUSE_MILLISECONDS = 40L
+        private const val OK = 200
+        private const val BAD_GATEWAY = 502
+        private const val UNAVAILABLE = 503
+        private const val GATEWAY_TIMEOUT = 504
+    }
+}
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/deployment/CallerStandIn.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/deployment/CallerStandIn.kt
@@ -78,15 +78,16 @@
     return root.getValue("results").jsonArray.map { it.jsonObject }
 }
 
-/** A job of one model as a trainer submits it. */
+/** A job of one model as a trainer submits it; the identifiers of its tasks begin with [prefix]. */
 public fun submissionText(
     tasks: Int,
     minimumVersion: Int,
+    prefix: String = "",
 ): String {
     val items = (1..tasks).joinToString(",") {
-        """{"id":"task-$it","path":"/sort/$it","headers":{"Mulberrypin-Model":"sorter"},"body":"YQ==","tokens":10,""" +
-            """"group":"g${it / 2}","scorerUrl":{"id":"score-$it","host":"$ROUTE_HOST","path":"/scores/$it",""" +
-            """"body":"YQ=="}}"""
+        """{"id":"${prefix}task-$it","path":"/sort/$it","headers":{"Mulberrypin-Model":"sorter"},"body":"YQ==",""" +
+            """"tokens":10,"group":"${prefix}g${it / 2}","scorerUrl":{"id":"${prefix}score-$it",""" +
+            """"host":"$ROUTE_HOST","path":"/scores/$it","body":"YQ=="}}"""
     }
     return """{"step":1,"model":"sorter","minVersion":$minimumVersion,"targetCount":1,"items":[$items]}"""
 }
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/deployment/ServerStandIn.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/deployment/ServerStandIn.kt
@@ -4,6 +4,7 @@
 import com.linecorp.armeria.common.AggregatedHttpRequest
 import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.HttpResponseWriter
 import com.linecorp.armeria.common.HttpStatus
 import com.linecorp.armeria.common.MediaType
 import com.linecorp.armeria.common.ResponseHeaders
@@ -24,13 +25,14 @@
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
 
-/** A request that a stand-in ran. */
+/** A request that a stand-in ran; [run] counts the requests of the stand-in from 0. */
 public data class RanRequest(
     val id: String,
     val path: String,
     val team: String?,
     val hasKey: Boolean,
     val lastEvent: Long,
+    val run: Int,
 )
 
 /**
@@ -49,14 +51,32 @@
     val stop: () -> Unit,
 )
 
-/** Starts a stand-in of [pool]; one with a [model] is an engine. It enters itself in the store's list. */
+/**
+ * How the streams of an engine go.
+ *
+ * @property events events of a whole stream
+ * @property pauseMilliseconds time between two events
+ * @property text data of an event of the numbered run, counted from 0 at this engine
+ */
+public data class StreamScript(
+    val events: Long = EVENTS,
+    val pauseMilliseconds: Long = 0,
+    val text: (run: Int, event: Long) -> String = { _, event -> "part $event" },
+)
+
+/**
+ * Starts a stand-in of [pool]; one with a [model] is an engine. It enters itself in the store's list, under the address
+ * that [advertise] makes of its own.
+ */
 public fun startServerStandIn(
     store: StoreStandIn,
     id: String,
     pool: String,
     model: String? = null,
+    script: StreamScript = StreamScript(),
+    advertise: (address: String) -> String = { it },
 ): ServerStandIn {
-    val behaviour = ServerBehaviour(id, model)
+    val behaviour = ServerBehaviour(id, model, script)
     val server = Server
         .builder()
         .http(InetSocketAddress("127.0.0.1", 0))
@@ -67,7 +87,8 @@
         }.build()
     server.start().join()
     val address = "127.0.0.1:${server.activeLocalPort()}"
-    behaviour.onVersion = { store.write("servers", id, entryOf(address, pool, model, it)) }
+    val advertised = advertise(address)
+    behaviour.onVersion = { store.write("servers", id, entryOf(advertised, pool, model, it)) }
     behaviour.onVersion(behaviour.version.get())
     return ServerStandIn(id, address, behaviour.ran, behaviour.version, behaviour.breakNext) {
         store.remove("servers", id)
@@ -102,11 +123,13 @@
 private class ServerBehaviour(
     private val id: String,
     private val model: String?,
+    private val script: StreamScript,
 ) {
     val ran = ConcurrentLinkedQueue<RanRequest>()
     val version = AtomicLong(1)
     val breakNext = AtomicInteger()
     private val orders = AtomicLong()
+    private val runs = AtomicInteger()
     var onVersion: (Long) -> Unit = {}
 
     fun serve(
@@ -153,31 +176,52 @@
         val requestId = headers.get("mulberrypin-request-id").orEmpty()
         val lastEvent = headers.getLong("last-event-id", 0)
         val hasKey = headers.contains("authorization")
-        ran.add(RanRequest(requestId, path, headers.get("mulberrypin-tenant"), hasKey, lastEvent))
+        val run = runs.getAndIncrement()
+        ran.add(RanRequest(requestId, path, headers.get("mulberrypin-tenant"), hasKey, lastEvent, run))
         val head = ResponseHeaders
             .builder(HttpStatus.OK)
             .set("mulberrypin-request-id", requestId)
             .set("mulberrypin-response-seal", "signature-$requestId")
         if (model == null) return HttpResponse.of(head.build(), HttpData.ofUtf8("answer to $requestId"))
         head.set("mulberrypin-weight-versions", version.get().toString()).contentType(MediaType.EVENT_STREAM)
-        return stream(head.build(), lastEvent)
+        return stream(head.build(), run, lastEvent)
     }
 
     private fun stream(
         head: ResponseHeaders,
+        run: Int,
         lastEvent: Long,
     ): HttpResponse {
         val isBroken = breakNext.getAndUpdate { maxOf(0, it - 1) } > 0
         val response = HttpResponse.streaming()
         response.write(head)
-        val last = if (isBroken) lastEvent + 1 else EVENTS
-        for (event in lastEvent + 1..last) response.write(HttpData.ofUtf8("id: $event\ndata: part $event\n\n"))
-        // The break comes a little later, so that the event before it arrives.
-        CompletableFuture.delayedExecutor(BREAK_MILLISECONDS, TimeUnit.MILLISECONDS).execute {
-            if (isBroken) response.abort() else response.close()
-        }
+        val last = if (isBroken) lastEvent + 1 else script.events
+        play(response, run, lastEvent + 1..last) { if (isBroken) response.abort() else response.close() }
         return response
     }
+
+    /** Writes events at the pace of the script; the end comes a little later, so that the event before it arrives. */
+    private fun play(
+        response: HttpResponseWriter,
+        run: Int,
+        events: LongRange,
+        end: () -> Unit,
+    ) {
+        if (events.isEmpty() || !response.isOpen) return after(BREAK_MILLISECONDS, end)
+        val event = events.first
+        response.tryWrite(HttpData.ofUtf8("id: $event\ndata: ${script.text(run, event)}\n\n"))
+        val rest = event + 1..events.last
+        if (script.pauseMilliseconds == 0L) {
+            play(response, run, rest, end)
+        } else {
+            after(script.pauseMilliseconds) { play(response, run, rest, end) }
+        }
+    }
+
+    private fun after(
+        milliseconds: Long,
+        act: () -> Unit,
+    ) = CompletableFuture.delayedExecutor(milliseconds, TimeUnit.MILLISECONDS).execute(act)
 }
 
 /** Events of a whole stream. */
