--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/instances/WatchInstances.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/instances/WatchInstances.kt
@@ -1,4 +1,4 @@
-/** Decides from repeated readings of the heartbeat table which instances are alive. */
+/** Decides from repeated readings of the heartbeat table which instances are alive, and how often they write to it. */
 package org.mulberrypin.decisions.instances
 
 import org.mulberrypin.schema.generated.InstanceHeartbeat
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/leases/DecideLease.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/leases/DecideLease.kt
@@ -2,7 +2,8 @@
  * Decides how one process takes, renews, loses and gives up one lease that is kept as a row of the table service.
  *
  * A process takes the lease only after it has itself seen the row unchanged for longer than the row grants, by its own
- * clock, and writes only on the condition that the row is still the one it saw. The holder counts its deadline from the
+ * clock, or when the row names an earlier process of the same candidate, and writes only on the condition that the row
+ * is still the one it saw. The holder counts its deadline from the
  * moment before it sent the write that the row shows. Both times leave room for clocks of different rates, so two
  * processes never rely on the lease at the same time.
  */
--- a/decisions/src/test/kotlin/org/mulberrypin/decisions/traffic/SaveProgressTest.kt
+++ b/decisions/src/test/kotlin/org/mulberrypin/decisions/traffic/SaveProgressTest.kt
@@ -1,5 +1,6 @@
 package org.mulberrypin.decisions.traffic
 
+import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.mulberrypin.schema.generated.TaskPart
 import strikt.api.expectThat
@@ -7,6 +8,7 @@
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
 import strikt.assertions.isTrue
 
 class SaveProgressTest {
@@ -54,6 +56,20 @@
         expectThat(world.all<TrafficEffect.SaveProgress>()).isEmpty()
     }
 
+    @Test
+    @Tag("known-red")
+    fun `names only the versions of the events that a part holds`() {
+        val world = world()
+        val run = world.startJob(1).single()
+        world.tell(TrafficEvent.TaskAnswered(run.job, run.task.id, run.attempt, 200, notRun = false, version = 1))
+        val long = "e".repeat(1_000)
+        val events = (1L..30L).map { TaskEvent(it, long, if (it == 30L) 2 else null) }
+        world.tell(TrafficEvent.TaskEventsArrived(run.job, run.task.id, run.attempt, events))
+        val part = world.nextSave().parts.single()
+        expectThat(part.lastEvent).isLessThan(30)
+        expectThat(part.versions).containsExactly(1)
+    }
+
     @Test
     fun `goes on after the saved events when a job is taken over`() {
         val run = load(part(1, 20, ownership = 5), part(21, 30, ownership = 8)).single<TrafficEffect.RunTask>()
