--- a/command/src/test/kotlin/org/mulberrypin/command/soak/SoakTrainer.kt
+++ b/command/src/test/kotlin/org/mulberrypin/command/soak/SoakTrainer.kt
@@ -7,6 +7,7 @@
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
 import org.mulberrypin.standins.deployment.RanRequest
+import org.mulberrypin.standins.deployment.resultsPath
 import org.mulberrypin.standins.deployment.submissionText
 
 /** Submits one batch job after the other and checks what is listed; results keep their positions and texts. */
@@ -66,7 +67,7 @@
     }
 
     private fun read(job: String): List<JsonObject>? {
-        val answer = connections.call(HttpMethod.GET, "/mulberrypin/lots/$job?after=0", "") ?: return null
+        val answer = connections.call(HttpMethod.GET, resultsPath(job), "") ?: return null
         val status = answer.status().code()
         if (status == NOT_FOUND) findings.add("$job: not found after it was accepted")
         if (status != OK) return null
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/JobStore.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/JobStore.kt
@@ -1,6 +1,6 @@
 /**
- * Batch jobs in the platform's store: the submission is an object; the job, its results and the saved parts of texts that
- * are not complete are rows. A result that is larger than a row is written in pieces.
+ * Batch jobs in the platform's store: the submission is an object; the job, its results and the saved parts of texts
+ * that are not complete are rows. A result that is larger than a row is written in pieces.
  */
 package org.mulberrypin.service.deployment
 
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/deployment/CallerStandIn.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/deployment/CallerStandIn.kt
@@ -42,11 +42,14 @@
             val body = submissionText(tasks, minimumVersion)
             call(client, HttpMethod.POST, "/sort/$job", job, CALLER_KEY, body).status().code()
         },
-        results = { job -> resultsOf(call(client, HttpMethod.GET, "/mulberrypin/lots/$job?after=0", "", CALLER_KEY)) },
+        results = { job -> resultsOf(call(client, HttpMethod.GET, resultsPath(job), "", CALLER_KEY)) },
         end = { job -> call(client, HttpMethod.DELETE, "/mulberrypin/lots/$job", "", CALLER_KEY).status().code() },
     )
 }
 
+/** Path under which all results of a job are read. */
+public fun resultsPath(job: String): String = "/mulberrypin/lots/$job?after=0"
+
 /** The head of a request as it goes over the connection, with a path that no library has touched. */
 public fun rawRequest(
     path: String,
