--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/Transition.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/Transition.kt
@@ -26,3 +26,10 @@
     val following = next(state)
     return if (effects.isEmpty()) following else Transition(following.state, effects + following.effects)
 }
+
+/** Decides a step for each of [items], each from the state that the one before led to. */
+public inline fun <State, Effect, Item> State.decideEach(
+    items: Iterable<Item>,
+    step: (State, Item) -> Transition<State, Effect>,
+): Transition<State, Effect> =
+    items.fold(Transition<State, Effect>(this)) { result, item -> result.andThen { step(it, item) } }
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/JobOwners.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/JobOwners.kt
@@ -2,7 +2,7 @@
 package org.mulberrypin.decisions.traffic
 
 import org.mulberrypin.decisions.Transition
-import org.mulberrypin.decisions.andThen
+import org.mulberrypin.decisions.decideEach
 import org.mulberrypin.schema.generated.JobRecord
 
 internal fun TrafficState.isOwn(record: JobRecord): Boolean =
@@ -51,16 +51,13 @@
     !record.ended && !record.complete && !isOwn(record) &&
         liveInstances.none { it.name == record.owner && it.incarnation == record.ownerIncarnation }
 
-internal fun TrafficState.releaseJobs(): Transition<TrafficState, TrafficEffect> {
-    var result = Transition<TrafficState, TrafficEffect>(this)
-    for (job in jobs.values) {
+internal fun TrafficState.releaseJobs(): Transition<TrafficState, TrafficEffect> =
+    decideEach(jobs.values) { state, job ->
         val parts = job.newParts { it.lastEvent > it.savedEvent || it.isTextComplete }
         val release = TrafficEffect.ReleaseJob(job.record.copy(owner = "", ownerIncarnation = 0), job.version, parts)
-        result = result.andThen { it.dropJob(job.record.id, "shutting down") }
-        result = result.copy(effects = result.effects + release)
+        val dropped = state.dropJob(job.record.id, "shutting down")
+        dropped.copy(effects = dropped.effects + release)
     }
-    return result
-}
 
 /** Pause between two attempts to take jobs over, in milliseconds. */
 private const val TAKEOVER_PAUSE_MILLISECONDS = 500L
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RetryRequests.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RetryRequests.kt
@@ -3,6 +3,7 @@
 
 import org.mulberrypin.decisions.Transition
 import org.mulberrypin.decisions.andThen
+import org.mulberrypin.decisions.decideEach
 import org.mulberrypin.schema.generated.RequestKind
 
 internal fun canRepeat(request: ForwardedRequest): Boolean {
@@ -83,13 +84,8 @@
 }
 
 /** Ends attempts and requests whose time is over, and sends those that wait. */
-internal fun TrafficState.continueRequests(nowMilliseconds: Long): Transition<TrafficState, TrafficEffect> {
-    var result = Transition<TrafficState, TrafficEffect>(this)
-    for (request in requests.values) {
-        result = result.andThen { it.continueRequest(request, nowMilliseconds) }
-    }
-    return result
-}
+internal fun TrafficState.continueRequests(nowMilliseconds: Long): Transition<TrafficState, TrafficEffect> =
+    decideEach(requests.values) { state, request -> state.continueRequest(request, nowMilliseconds) }
 
 private fun TrafficState.continueRequest(
     request: ForwardedRequest,
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunJobs.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunJobs.kt
@@ -10,6 +10,7 @@
 import kotlinx.collections.immutable.toPersistentMap
 import org.mulberrypin.decisions.Transition
 import org.mulberrypin.decisions.andThen
+import org.mulberrypin.decisions.decideEach
 import org.mulberrypin.schema.generated.JobRecord
 import org.mulberrypin.schema.generated.JobSubmission
 
@@ -131,12 +132,9 @@
 
 /** Loads the jobs that this instance owns and does not run, such as those whose loading failed. */
 internal fun TrafficState.loadOwnJobs(nowMilliseconds: Long): Transition<TrafficState, TrafficEffect> {
-    var result = Transition<TrafficState, TrafficEffect>(this)
-    if (draining) return result
-    records.values.filter { isOwn(it.record) }.forEach { known ->
-        result = result.andThen { it.loadOwn(known.record, nowMilliseconds) }
-    }
-    return result
+    if (draining) return Transition(this)
+    val own = records.values.filter { isOwn(it.record) }
+    return decideEach(own) { state, known -> state.loadOwn(known.record, nowMilliseconds) }
 }
 
 /** Stops running a job; its open connections to engines are closed. */
@@ -164,11 +162,8 @@
 internal fun TrafficState.acceptJobRows(
     rows: List<JobRow>,
     nowMilliseconds: Long,
-): Transition<TrafficState, TrafficEffect> {
-    var result = Transition<TrafficState, TrafficEffect>(this)
-    rows.forEach { row -> result = result.andThen { it.acceptJobRow(row, nowMilliseconds) } }
-    return result
-}
+): Transition<TrafficState, TrafficEffect> =
+    decideEach(rows) { state, row -> state.acceptJobRow(row, nowMilliseconds) }
 
 private fun TrafficState.acceptJobRow(
     row: JobRow,
@@ -287,14 +282,10 @@
 internal fun TrafficState.continueJobs(
     nowMilliseconds: Long,
     wallMilliseconds: Long,
-): Transition<TrafficState, TrafficEffect> {
-    var result = Transition<TrafficState, TrafficEffect>(this)
-    for (job in jobs.values) {
-        result = result.andThen { it.continueJob(job.record.id, nowMilliseconds) }
-        result = result.andThen { it.expireTasks(job.record.id, nowMilliseconds, wallMilliseconds) }
+): Transition<TrafficState, TrafficEffect> =
+    decideEach(jobs.keys) { state, id ->
+        state.continueJob(id, nowMilliseconds).andThen { it.expireTasks(id, nowMilliseconds, wallMilliseconds) }
     }
-    return result
-}
 
 private fun TrafficState.continueJob(
     id: String,
@@ -311,15 +302,12 @@
     nowMilliseconds: Long,
     wallMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> {
-    var result = Transition<TrafficState, TrafficEffect>(this)
-    val job = jobs[id]?.takeIf { isExpired(it, wallMilliseconds) } ?: return result
-    job.tasks.values.filter { it.phase == TaskPhase.WAITING }.forEach { task ->
-        result = result.andThen { state ->
-            val current = state.jobs[id]
-            if (current == null) Transition(state) else state.finishTask(current, task, failed(task), nowMilliseconds)
-        }
+    val job = jobs[id]?.takeIf { isExpired(it, wallMilliseconds) } ?: return Transition(this)
+    val waiting = job.tasks.values.filter { it.phase == TaskPhase.WAITING }
+    return decideEach(waiting) { state, task ->
+        val current = state.jobs[id]
+        if (current == null) Transition(state) else state.finishTask(current, task, failed(task), nowMilliseconds)
     }
-    return result
 }
 
 private fun TrafficState.isExpired(
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
@@ -6,6 +6,7 @@
 
 import org.mulberrypin.decisions.Transition
 import org.mulberrypin.decisions.andThen
+import org.mulberrypin.decisions.decideEach
 import org.mulberrypin.schema.generated.JobSubmission
 import org.mulberrypin.schema.generated.ServingRoute
 import org.mulberrypin.schema.generated.TaskResult
@@ -39,14 +40,10 @@
 
 /** Sends the tasks that wait for an engine or for their scoring call. */
 internal fun TrafficState.dispatchTasks(nowMilliseconds: Long): Transition<TrafficState, TrafficEffect> {
-    var result = Transition<TrafficState, TrafficEffect>(this)
     val oldestFirst = jobs.values.sortedBy { it.record.submittedWallMilliseconds }
-    for (job in oldestFirst) {
-        for (id in job.order) {
-            result = result.andThen { it.dispatchIfDue(job.record.id, id, nowMilliseconds) }
-        }
+    return decideEach(oldestFirst) { state, job ->
+        state.decideEach(job.order) { next, id -> next.dispatchIfDue(job.record.id, id, nowMilliseconds) }
     }
-    return result
 }
 
 private fun TrafficState.dispatchIfDue(
@@ -318,21 +315,17 @@
 }
 
 /** Ends attempts of which nothing was heard for too long. */
-internal fun TrafficState.breakSilentTasks(nowMilliseconds: Long): Transition<TrafficState, TrafficEffect> {
-    var result = Transition<TrafficState, TrafficEffect>(this)
-    for (job in jobs.values) {
+internal fun TrafficState.breakSilentTasks(nowMilliseconds: Long): Transition<TrafficState, TrafficEffect> =
+    decideEach(jobs.values) { state, job ->
         val silent = job.tasks.values.filter {
             it.phase == TaskPhase.RUNNING && nowMilliseconds - it.heardMilliseconds > silenceLimit(it)
         }
-        for (task in silent) {
-            result = result.andThen { state ->
-                val current = state.jobs[job.record.id] ?: return@andThen Transition(state)
-                state.breakTask(current, task, "nothing heard in time", nowMilliseconds, cancel = true)
-            }
+        state.decideEach(silent) { next, task ->
+            val current = next.jobs[job.record.id]
+            val detail = "nothing heard in time"
+            current?.let { next.breakTask(it, task, detail, nowMilliseconds, cancel = true) } ?: Transition(next)
         }
     }
-    return result
-}
 
 private fun silenceLimit(task: TaskProgress): Long =
     if (task.lastEvent == 0L) FIRST_EVENT_MILLISECONDS else NEXT_EVENT_MILLISECONDS
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/SaveProgress.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/SaveProgress.kt
@@ -5,17 +5,12 @@
 package org.mulberrypin.decisions.traffic
 
 import org.mulberrypin.decisions.Transition
-import org.mulberrypin.decisions.andThen
+import org.mulberrypin.decisions.decideEach
 import org.mulberrypin.schema.generated.TaskPart
 
 /** Saves what has arrived since the last save of each job. */
-internal fun TrafficState.saveProgress(nowMilliseconds: Long): Transition<TrafficState, TrafficEffect> {
-    var result = Transition<TrafficState, TrafficEffect>(this)
-    for (id in jobs.keys) {
-        result = result.andThen { it.saveJob(id, nowMilliseconds) }
-    }
-    return result
-}
+internal fun TrafficState.saveProgress(nowMilliseconds: Long): Transition<TrafficState, TrafficEffect> =
+    decideEach(jobs.keys) { state, id -> state.saveJob(id, nowMilliseconds) }
 
 private fun TrafficState.saveJob(
     id: String,
