--- a/command/src/test/kotlin/org/mulberrypin/command/processes/ProgramProcess.kt
+++ b/command/src/test/kotlin/org/mulberrypin/command/processes/ProgramProcess.kt
@@ -33,9 +33,7 @@
         return process.waitFor(END_SECONDS, TimeUnit.SECONDS)
     }
 
-    private fun signal(name: String) {
-        ProcessBuilder("kill", "-$name", process.pid().toString()).start().waitFor()
-    }
+    private fun signal(name: String) = process.signal(name)
 
     internal companion object {
         private const val END_SECONDS = 60L
@@ -50,7 +48,7 @@
             mark: String,
             vararg arguments: String,
         ): ProgramProcess {
-            val process = ProcessBuilder(commandLine(arguments.toList())).redirectErrorStream(true).start()
+            val process = ProcessBuilder(programCommand(arguments.toList())).redirectErrorStream(true).start()
             val address = CompletableFuture<String>()
             val reader =
                 Thread { readOutput(process, mark, address) }
@@ -72,12 +70,19 @@
         }
 
         private fun isOfAddress(character: Char) = character.isLetterOrDigit() || character in ".:-"
-
-        private fun commandLine(arguments: List<String>): List<String> {
-            val java = File(System.getProperty("java.home"), "bin/java").path
-            val classPath = System.getProperty("java.class.path")
-            val options = listOf("-Xmx160m", "-XX:+UseSerialGC", "-cp", classPath)
-            return listOf(java) + options + "org.mulberrypin.command.MainKt" + arguments
-        }
     }
 }
+
+/** The command line that runs the program with [arguments], and the virtual machine with [options]. */
+internal fun programCommand(
+    arguments: List<String>,
+    options: List<String> = emptyList(),
+): List<String> {
+    val java = File(System.getProperty("java.home"), "bin/java").path
+    val usual = listOf("-Xmx160m", "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"))
+    return listOf(java) + usual + options + "org.mulberrypin.command.MainKt" + arguments
+}
+
+internal fun Process.signal(name: String) {
+    ProcessBuilder("kill", "-$name", pid().toString()).start().waitFor()
+}
--- a/command/src/test/kotlin/org/mulberrypin/command/soak/SoakCaller.kt
+++ b/command/src/test/kotlin/org/mulberrypin/command/soak/SoakCaller.kt
@@ -2,12 +2,10 @@
 
 import com.linecorp.armeria.client.WebClient
 import com.linecorp.armeria.common.AggregatedHttpResponse
-import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.common.HttpMethod
-import com.linecorp.armeria.common.HttpRequest
-import com.linecorp.armeria.common.RequestHeaders
+import org.mulberrypin.decisions.traffic.ReplyStatus
 import org.mulberrypin.standins.deployment.CALLER_KEY
-import org.mulberrypin.standins.deployment.ROUTE_HOST
+import org.mulberrypin.standins.deployment.callInstance
 import java.util.concurrent.CompletionException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedQueue
@@ -33,13 +31,8 @@
     ): AggregatedHttpResponse? {
         val port = ports().randomOrNull(random) ?: return null
         val client = clients.computeIfAbsent(port) { WebClient.of("h1c://127.0.0.1:$it") }
-        val headers = RequestHeaders
-            .builder(method, path)
-            .authority(ROUTE_HOST)
-            .set("authorization", "Bearer $CALLER_KEY")
-        if (id.isNotEmpty()) headers.set("mulberrypin-request-id", id)
         return try {
-            client.execute(HttpRequest.of(headers.build(), HttpData.ofUtf8(body))).aggregate().join()
+            callInstance(client, method, path, id, CALLER_KEY, body)
         } catch (_: CompletionException) {
             null
         }
@@ -69,9 +62,9 @@
     private fun send(id: String) {
         val answer = connections.call(HttpMethod.POST, "/orders/1", id) ?: return
         when (val status = answer.status().code()) {
-            OK -> checkAnswer(id, answer)
-            UNAVAILABLE -> checkRefusal(id, answer)
-            BAD_GATEWAY, GATEWAY_TIMEOUT -> Unit
+            ReplyStatus.OK -> checkAnswer(id, answer)
+            ReplyStatus.UNAVAILABLE -> checkRefusal(id, answer)
+            ReplyStatus.BAD_GATEWAY, ReplyStatus.GATEWAY_TIMEOUT -> Unit
             else -> findings.add("$id: status $status for a proper request")
         }
     }
@@ -96,9 +89,5 @@
 
     private companion object {
         private const val PAUSE_MILLISECONDS = 40L
-        private const val OK = 200
-        private const val BAD_GATEWAY = 502
-        private const val UNAVAILABLE = 503
-        private const val GATEWAY_TIMEOUT = 504
     }
 }
--- a/command/src/test/kotlin/org/mulberrypin/command/soak/SoakProcess.kt
+++ b/command/src/test/kotlin/org/mulberrypin/command/soak/SoakProcess.kt
@@ -1,5 +1,7 @@
 package org.mulberrypin.command.soak
 
+import org.mulberrypin.command.processes.programCommand
+import org.mulberrypin.command.processes.signal
 import java.io.File
 import java.nio.file.Files
 import java.nio.file.Path
@@ -41,7 +43,8 @@
         starts++
         val output = folder.resolve("$name-$starts.log").toFile()
         log = output
-        process = ProcessBuilder(commandLine()).redirectErrorStream(true).redirectOutput(output).start()
+        val command = programCommand(listOf("entry", "--settings", settings.toString()), OPTIONS)
+        process = ProcessBuilder(command).redirectErrorStream(true).redirectOutput(output).start()
     }
 
     @Synchronized
@@ -57,20 +60,12 @@
     }
 
     fun signal(signal: String) {
-        val running = process?.takeIf { it.isAlive } ?: return
-        ProcessBuilder("kill", "-$signal", running.pid().toString()).start().waitFor()
-    }
-
-    private fun commandLine(): List<String> {
-        val java = File(System.getProperty("java.home"), "bin/java").path
-        val options = listOf("-Xmx160m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1") +
-            listOf("-Dlog4j2.configurationFile=logs-deployment.xml", "-cp", System.getProperty("java.class.path"))
-        return listOf(java) + options +
-            listOf("org.mulberrypin.command.MainKt", "entry", "--settings", settings.toString())
+        process?.takeIf { it.isAlive }?.signal(signal)
     }
 
     private companion object {
         private const val CALLERS = "callers="
+        private val OPTIONS = listOf("-XX:TieredStopAtLevel=1", "-Dlog4j2.configurationFile=logs-deployment.xml")
         private const val GRACE_SECONDS = 8L
     }
 }
--- a/command/src/test/kotlin/org/mulberrypin/command/soak/SoakTrainer.kt
+++ b/command/src/test/kotlin/org/mulberrypin/command/soak/SoakTrainer.kt
@@ -6,6 +6,7 @@
 import kotlinx.serialization.json.jsonArray
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
+import org.mulberrypin.decisions.traffic.ReplyStatus
 import org.mulberrypin.standins.deployment.RanRequest
 import org.mulberrypin.standins.deployment.resultsPath
 import org.mulberrypin.standins.deployment.submissionText
@@ -58,8 +59,8 @@
         val body = submissionText(TASKS, 1, "$job-")
         while (patience()) {
             when (val status = connections.call(HttpMethod.POST, "/sort/$job", job, body)?.status()?.code()) {
-                ACCEPTED -> return true
-                null, UNAVAILABLE, BAD_GATEWAY, GATEWAY_TIMEOUT -> Thread.sleep(PAUSE_MILLISECONDS)
+                ReplyStatus.ACCEPTED -> return true
+                in passing -> Thread.sleep(PAUSE_MILLISECONDS)
                 else -> findings.add("$job: status $status for a proper job")
             }
         }
@@ -69,8 +70,8 @@
     private fun read(job: String): List<JsonObject>? {
         val answer = connections.call(HttpMethod.GET, resultsPath(job), "") ?: return null
         val status = answer.status().code()
-        if (status == NOT_FOUND) findings.add("$job: not found after it was accepted")
-        if (status != OK) return null
+        if (status == ReplyStatus.NOT_FOUND) findings.add("$job: not found after it was accepted")
+        if (status != ReplyStatus.OK) return null
         val root = Json.parseToJsonElement(answer.contentUtf8()).jsonObject
         return root.getValue("results").jsonArray.map { it.jsonObject }
     }
@@ -130,11 +131,9 @@
     private companion object {
         private const val TASKS = 6
         private const val PAUSE_MILLISECONDS = 120L
-        private const val OK = 200
-        private const val ACCEPTED = 202
-        private const val NOT_FOUND = 404
-        private const val BAD_GATEWAY = 502
-        private const val UNAVAILABLE = 503
-        private const val GATEWAY_TIMEOUT = 504
+
+        /** What ends a submission for now: no answer, or one that asks to come again. */
+        private val passing =
+            setOf(null, ReplyStatus.UNAVAILABLE, ReplyStatus.BAD_GATEWAY, ReplyStatus.GATEWAY_TIMEOUT)
     }
 }
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/deployment/CallerStandIn.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/deployment/CallerStandIn.kt
@@ -37,13 +37,15 @@
 public fun callerStandIn(port: Int): CallerStandIn {
     val client = WebClient.of("h1c://127.0.0.1:$port")
     return CallerStandIn(
-        request = { path, id, key -> call(client, HttpMethod.POST, path, id, key) },
+        request = { path, id, key -> callInstance(client, HttpMethod.POST, path, id, key) },
         submit = { job, tasks, minimumVersion ->
             val body = submissionText(tasks, minimumVersion)
-            call(client, HttpMethod.POST, "/sort/$job", job, CALLER_KEY, body).status().code()
+            callInstance(client, HttpMethod.POST, "/sort/$job", job, CALLER_KEY, body).status().code()
+        },
+        results = { job -> resultsOf(callInstance(client, HttpMethod.GET, resultsPath(job), "", CALLER_KEY)) },
+        end = { job ->
+            callInstance(client, HttpMethod.DELETE, "/mulberrypin/lots/$job", "", CALLER_KEY).status().code()
         },
-        results = { job -> resultsOf(call(client, HttpMethod.GET, resultsPath(job), "", CALLER_KEY)) },
-        end = { job -> call(client, HttpMethod.DELETE, "/mulberrypin/lots/$job", "", CALLER_KEY).status().code() },
     )
 }
 
@@ -58,7 +60,8 @@
     "GET $path HTTP/1.1\r\nHost: $ROUTE_HOST\r\nAuthorization: Bearer $CALLER_KEY\r\n" +
         "Mulberrypin-Request-Id: $id\r\n\r\n"
 
-private fun call(
+/** Sends a call to the instance of [client] and waits for the whole answer; fails when the connection breaks off. */
+public fun callInstance(
     client: WebClient,
     method: HttpMethod,
     path: String,
