Read entries of other writers within bounds; let no error end a duty

Cause: parseJsonObject caught SerializationException alone, so 20,000 nested arrays in one entry of the registry ended in a StackOverflowError; a duty caught Exception alone, so the thread that follows the store, or the one that serves callers, ended in a process that stayed alive. A trainer's submission could do the same.

A duty outlives any Throwable; readiness fails when a duty that serves callers has not ticked for 5 s. An entry that cannot be read is logged once. A call of the store's feed whose response was lost inside the process is sent again after 5 s.

--- a/runtime/src/main/kotlin/org/mulberrypin/runtime/Duty.kt
+++ b/runtime/src/main/kotlin/org/mulberrypin/runtime/Duty.kt
@@ -2,15 +2,19 @@
 
 import org.apache.logging.log4j.LogManager
 import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.atomic.AtomicLong
 
 /**
  * A named thread that takes events from a bounded ring and handles them in order.
  *
- * The thread parks while its ring is empty and runs a tick handler once per tick interval. If a handler throws, the
- * exception is logged and the thread continues with the next event; the failed event is not handled again.
+ * The thread parks while its ring is empty and runs a tick handler once per tick interval. If a handler throws, be it an
+ * exception or an error such as an exhausted stack, this is logged and the thread continues with the next event; the
+ * failed event is not handled again. A thread that ended instead would leave a process that serves nobody and looks
+ * alive.
  */
 public class Duty internal constructor(
     private val name: String,
+    private val readTickAge: () -> Long,
     private val runIteration: () -> Unit,
 ) {
     private val running = AtomicBoolean(true)
@@ -22,6 +26,9 @@
         return this
     }
 
+    /** Time since the last call of the tick handler began, or since the start before the first call, in milliseconds. */
+    public fun millisecondsSinceTick(): Long = readTickAge()
+
     /** Stops the thread after the event that it is handling, and waits up to [waitMilliseconds] for it to end. */
     public fun stop(waitMilliseconds: Long) {
         running.set(false)
@@ -32,12 +39,20 @@
         while (running.get()) {
             try {
                 runIteration()
-            } catch (failure: Exception) {
-                logger.error("{}: an event or tick handler failed.", name, failure)
+            } catch (failure: Throwable) {
+                logFailure(failure)
             }
         }
     }
 
+    private fun logFailure(failure: Throwable) {
+        try {
+            logger.error("{}: an event or tick handler failed.", name, failure)
+        } catch (_: Throwable) {
+            // The logger itself fails when memory is exhausted; the duty has to outlive that, too.
+        }
+    }
+
     private companion object {
         private val logger = LogManager.getLogger("duty")
     }
@@ -60,15 +75,17 @@
     handleTick: () -> Unit,
 ): Duty {
     var nextTickMilliseconds = clock.readMilliseconds()
+    val lastTickMilliseconds = AtomicLong(nextTickMilliseconds)
     val runIteration = {
         val waitMilliseconds = (nextTickMilliseconds - clock.readMilliseconds()).coerceIn(0, MAX_PARK_MILLISECONDS)
         ring.take(waitMilliseconds)?.let(handleEvent)
         if (clock.readMilliseconds() >= nextTickMilliseconds) {
-            nextTickMilliseconds = clock.readMilliseconds() + tickMilliseconds
+            lastTickMilliseconds.set(clock.readMilliseconds())
+            nextTickMilliseconds = lastTickMilliseconds.get() + tickMilliseconds
             handleTick()
         }
     }
-    return Duty(name, runIteration).start()
+    return Duty(name, { clock.readMilliseconds() - lastTickMilliseconds.get() }, runIteration).start()
 }
 
 /** Maximum time a thread parks before it checks whether it was stopped, in milliseconds. */
--- a/runtime/src/main/kotlin/org/mulberrypin/runtime/WireJson.kt
+++ b/runtime/src/main/kotlin/org/mulberrypin/runtime/WireJson.kt
@@ -29,14 +29,19 @@
     deserializer: DeserializationStrategy<Message>,
     step: String,
     peer: String,
-): Outcome<Message> =
-    try {
-        Outcome.Success(wireJson.decodeFromString(deserializer, text))
-    } catch (failure: SerializationException) {
-        val found = failure.message
-            ?.lineSequence()
-            ?.firstOrNull()
-            .orEmpty()
-        val expected = deserializer.descriptor.serialName.substringAfterLast('.')
-        Outcome.Failure(Fault(step, peer, FaultKind.REFUSED, "expected $expected as JSON, found: $found"))
+): Outcome<Message> {
+    val found = if (isNestedTooDeeply(text)) {
+        "more than $MAX_JSON_NESTING nested levels"
+    } else {
+        try {
+            return Outcome.Success(wireJson.decodeFromString(deserializer, text))
+        } catch (failure: SerializationException) {
+            failure.message
+                ?.lineSequence()
+                ?.firstOrNull()
+                .orEmpty()
+        }
     }
+    val expected = deserializer.descriptor.serialName.substringAfterLast('.')
+    return Outcome.Failure(Fault(step, peer, FaultKind.REFUSED, "expected $expected as JSON, found: $found"))
+}
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
@@ -54,8 +54,10 @@
     val control = ControlDuty(identity, settings, ControlPorts(store, backends, clock, log, onInstances))
     val trafficPorts = TrafficPorts(store, backends, control::countUsage, clock, log, trafficCounters(registry))
     traffic = TrafficDuty(identity, trafficPorts)
-    val readiness = InstanceReadiness()
-    val follow = FollowDuty(store, followOutlets(traffic, control, readiness), clock, log)
+    lateinit var follow: FollowDuty
+    val readiness = InstanceReadiness { maxOf(traffic.millisecondsSinceTick(), follow.millisecondsSinceTick()) }
+    follow = FollowDuty(store, followOutlets(traffic, control, readiness), clock, log)
+    registry.gauge("duty.tick.age.milliseconds", readiness) { it.millisecondsSinceTick().toDouble() }
     val server = frontServer(addresses(settings, metricsPort), frontPorts(traffic, readiness, registry))
     server.start().join()
     traffic.start()
@@ -81,13 +83,27 @@
     }
 }
 
-/** Readiness state: an instance is ready once it has a configuration and a backend server list, until it drains. */
-internal class InstanceReadiness {
+/**
+ * Readiness state: an instance is ready once it has a configuration and a backend server list, until it drains, unless
+ * one of the duties that serve callers has stalled.
+ *
+ * @property millisecondsSinceTick time since the last tick of the duty that has not ticked for longest, in milliseconds
+ */
+internal class InstanceReadiness(
+    val millisecondsSinceTick: () -> Long,
+) {
     val hasConfiguration = AtomicBoolean()
     val hasBackends = AtomicBoolean()
     val draining = AtomicBoolean()
 
-    fun isReady(): Boolean = hasConfiguration.get() && hasBackends.get() && !draining.get()
+    fun isReady(): Boolean =
+        hasConfiguration.get() && hasBackends.get() && !draining.get() &&
+            millisecondsSinceTick() < STALL_MILLISECONDS
+
+    private companion object {
+        /** Time without a tick after which a duty counts as stalled, in milliseconds; fifty times the tick interval. */
+        private const val STALL_MILLISECONDS = 5_000L
+    }
 }
 
 private fun logReload(
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/FollowDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/FollowDuty.kt
@@ -6,7 +6,6 @@
 import org.mulberrypin.platform.deployment.RowPage
 import org.mulberrypin.platform.deployment.RowStore
 import org.mulberrypin.platform.deployment.StoredRow
-import org.mulberrypin.platform.deployment.decodeBackendServer
 import org.mulberrypin.platform.deployment.decodeConfiguration
 import org.mulberrypin.platform.deployment.decodeNamedWeights
 import org.mulberrypin.runtime.BoundedRing
@@ -60,6 +59,7 @@
     ).associateBy { it.table }
     private var backendEntries = LapsedEntries()
     private var configurationVersion = 0L
+    private var listedServers = ListedServers()
     private var publishedBackends: List<BackendServerEntry>? = null
     private var thread: Duty? = null
 
@@ -72,6 +72,9 @@
         thread?.stop(STOP_TIMEOUT_MILLISECONDS)
     }
 
+    /** Time since the last tick of the duty, in milliseconds; 0 before its start. */
+    fun millisecondsSinceTick(): Long = thread?.millisecondsSinceTick() ?: 0
+
     private fun handle(signal: FollowSignal) {
         val now = clock.readMilliseconds()
         when (signal) {
@@ -166,12 +169,11 @@
         now: Long,
     ) {
         backendEntries = backendEntries.update(table.rows.values.associateBy(StoredRow::key), now)
-        val servers = backendEntries.usableRows().mapNotNull { row ->
-            decodeBackendServer(row.key, row.value)
-                ?: null.also {
-                    log.write(SOURCE, row.key, "entry not readable", "store", "rowVersion=${row.version}")
-                }
+        listedServers = listedServers.read(backendEntries.usableRows())
+        listedServers.newlyUnreadable.forEach { row ->
+            log.write(SOURCE, row.key, "entry not readable", "store", "rowVersion=${row.version}")
         }
+        val servers = listedServers.servers
         if (servers == publishedBackends) return
         logBackendChanges(publishedBackends.orEmpty(), servers)
         publishedBackends = servers
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/FollowTable.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/FollowTable.kt
@@ -22,6 +22,7 @@
  * @property scanVersion version of the first page of the current scan, from which the feed continues
  * @property version version up to which changes are known; null during a scan
  * @property callNumber number of the call in flight, used to ignore late responses; 0 when there is none
+ * @property sentAtMilliseconds time at which the call in flight was sent, by the monotonic clock
  * @property callCount number of calls sent so far
  * @property failures number of consecutive failed calls
  * @property retryAtMilliseconds earliest time of the next call after a failure, by the monotonic clock
@@ -35,6 +36,7 @@
     val scanVersion: Long? = null,
     val version: Long? = null,
     val callNumber: Long = 0,
+    val sentAtMilliseconds: Long = 0,
     val callCount: Long = 0,
     val failures: Int = 0,
     val retryAtMilliseconds: Long = 0,
@@ -53,11 +55,17 @@
     ) : FollowCall
 }
 
-/** Returns the next call and the state after it is sent; null while a call is in flight or a retry is delayed. */
+/**
+ * Returns the next call and the state after it is sent; null while a call is in flight or a retry is delayed. A call
+ * that is far past its timeout has lost its response inside this process and counts as failed, since the table would
+ * otherwise be followed no more.
+ */
 internal fun FollowedTable.nextCall(nowMilliseconds: Long): Pair<FollowedTable, FollowCall>? {
+    val isLost = callNumber != 0L && nowMilliseconds - sentAtMilliseconds > LOST_CALL_MILLISECONDS
+    if (isLost) return withFailure(nowMilliseconds).copy(retryAtMilliseconds = 0).nextCall(nowMilliseconds)
     if (callNumber != 0L || nowMilliseconds < retryAtMilliseconds) return null
     val nextNumber = callCount + 1
-    val updated = copy(callNumber = nextNumber, callCount = nextNumber)
+    val updated = copy(callNumber = nextNumber, callCount = nextNumber, sentAtMilliseconds = nowMilliseconds)
     val knownVersion = version
     val call = if (knownVersion == null) {
         FollowCall.Read(nextNumber, RowRange(table, unreadPartitions.first(), fromKey))
@@ -130,5 +138,8 @@
 /** Long-poll wait of the feed, in milliseconds; a dead connection is detected shortly after it. */
 private const val FEED_WAIT_MILLISECONDS = 1_000L
 
+/** Age of a call in flight that counts as lost, in milliseconds; three times the timeout of a call of the feed. */
+private const val LOST_CALL_MILLISECONDS = 5_000L
+
 /** Delay before a retry after a failed call, in milliseconds; twenty times the store's usual response time. */
 private const val RETRY_DELAY_MILLISECONDS = 80L
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/StoreRecords.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/StoreRecords.kt
@@ -2,9 +2,9 @@
 package org.mulberrypin.service.deployment
 
 import kotlinx.serialization.DeserializationStrategy
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.mulberrypin.platform.deployment.StoredRow
+import org.mulberrypin.runtime.isNestedTooDeeply
 
 /** JSON format of records; unknown fields are ignored, so that two program versions can run side by side. */
 internal val recordJson: Json = Json { ignoreUnknownKeys = true }
@@ -20,12 +20,17 @@
     name: String,
     text: String,
     record: DeserializationStrategy<Value>,
-): Value? =
-    try {
-        recordJson.decodeFromString(record, text)
-    } catch (failure: SerializationException) {
-        val expected = record.descriptor.serialName.substringAfterLast('.')
-        val reason = failure.message?.lineSequence()?.first()
-        write("store", name, "row not readable", "store", "expected $expected: $reason")
-        null
+): Value? {
+    val reason = if (isNestedTooDeeply(text)) {
+        "nested too deeply"
+    } else {
+        try {
+            return recordJson.decodeFromString(record, text)
+        } catch (failure: IllegalArgumentException) {
+            failure.message?.lineSequence()?.first()
+        }
     }
+    val expected = record.descriptor.serialName.substringAfterLast('.')
+    write("store", name, "row not readable", "store", "expected $expected: $reason")
+    return null
+}
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
@@ -78,6 +78,9 @@
         thread?.stop(STOP_TIMEOUT_MILLISECONDS)
     }
 
+    /** Time since the last tick of the duty, in milliseconds; 0 before its start. */
+    fun millisecondsSinceTick(): Long = thread?.millisecondsSinceTick() ?: 0
+
     /** Queues a call from the front end and returns its number; replies with status 503 when the ring is full. */
     fun submit(call: IncomingCall): Long {
         val callNumber = callCounter.incrementAndGet()
--- /dev/null
+++ b/service/src/test/kotlin/org/mulberrypin/service/deployment/FollowTableTest.kt
@@ -0,0 +1,40 @@
+package org.mulberrypin.service.deployment
+
+import org.junit.jupiter.api.Test
+import org.mulberrypin.platform.deployment.FeedResult
+import org.mulberrypin.platform.deployment.RowPage
+import org.mulberrypin.runtime.Outcome
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+
+/** A followed table whose call never ends, as when the handler of its response fails. */
+class FollowTableTest {
+    private val scanning = FollowedTable("servers", listOf(""))
+
+    @Test
+    fun `a call in flight is not sent again before its timeout`() {
+        val sent = scanning.nextCall(0)?.first
+        expectThat(sent?.nextCall(1_600)).isNull()
+    }
+
+    @Test
+    fun `a call that never ends is sent again, and its late response is ignored`() {
+        val sent = scanning.nextCall(0)?.first
+        val again = sent?.nextCall(6_000)?.first
+        expectThat(again?.callNumber).isEqualTo(2)
+        val late = again?.applyPage(1, Outcome.Success(RowPage(emptyList(), false, 9)), 6_010)
+        expectThat(late).isEqualTo(again)
+    }
+
+    @Test
+    fun `the feed goes on from the version it had`() {
+        val scanned = scanning.nextCall(0)?.first?.applyPage(1, Outcome.Success(RowPage(emptyList(), false, 9)), 10)
+        val following = scanned?.nextCall(20)?.first
+        val call = following?.nextCall(6_000)?.second as? FollowCall.Follow
+        expectThat(call?.feed?.version).isEqualTo(9)
+        val answered = following?.applyFeed(2, Outcome.Success(FeedResult.Changes(emptyList(), 12)), 40)
+        expectThat(answered?.version).isNotNull().isEqualTo(12)
+    }
+}
