Count the errors of a task's scoring over all its calls

Cause: errors were counted in each scoring call by itself, and a call goes to each server once. With 3 servers and 4 attempts allowed, a call that fails everywhere was made anew each 200 ms for good. Its task was never listed, its group came back in each later job of the trainer, and each of those ran out of time.

Change: a task carries the errors of its calls; at the larger limit of the two routes it is given up.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunningJob.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunningJob.kt
@@ -62,6 +62,7 @@
  * @property text data of the received events, in order
  * @property currentVersion weight version that generates the events of the current attempt
  * @property errors number of responses with status 500
+ * @property scoringErrors number of responses with status 500 to its scoring calls
  * @property lastActivityMilliseconds time of the last dispatch, response or event, for detecting a stalled engine
  * @property restarts number of times the output was discarded and generation started over
  * @property isTextComplete true once an engine has ended the stream without an error
@@ -79,6 +80,7 @@
     val versions: Set<Long> = emptySet(),
     val currentVersion: Long = 0,
     val errors: Int = 0,
+    val scoringErrors: Int = 0,
     val lastActivityMilliseconds: Long = 0,
     val restarts: Int = 0,
     val isTextComplete: Boolean = false,
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ScoreTasks.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ScoreTasks.kt
@@ -15,7 +15,10 @@
     return finishTask(job, task, completedResult(task, signature), nowMilliseconds)
 }
 
-/** Fails the task if its scoring call got status 500 as often as the route allows attempts; otherwise retries later. */
+/**
+ * Fails the task if its scoring call got status 500 as often as the routes of the call and of the job allow attempts,
+ * counted over all calls since a pool may have fewer servers than attempts are allowed; otherwise retries later.
+ */
 internal fun TrafficState.handleScoringFailure(
     origin: Origin.Scoring,
     request: ForwardedRequest,
@@ -24,13 +27,19 @@
 ): Transition<TrafficState, TrafficEffect> {
     val job = jobs[origin.job] ?: return Transition(this)
     val task = job.tasks[origin.task]?.takeIf { it.phase == TaskPhase.SCORING } ?: return Transition(this)
-    return if (request.errors >= request.route.attemptLimit) {
-        val inputs = "errors=${request.errors} of ${request.route.attemptLimit}; $detail"
+    val errors = task.scoringErrors + request.errors
+    val taskLimit = routing?.findRoute(job.record.host, task.task.path)?.attemptLimit ?: 1
+    val limit = maxOf(request.route.attemptLimit, taskLimit)
+    return if (errors >= limit) {
+        val inputs = "errors=$errors of $limit; $detail"
         val explanation = TrafficEffect.RecordDecision(task.task.id, "scoring failed", job.record.id, inputs)
         finishTask(job, task, failedResult(task), nowMilliseconds)
             .let { it.copy(effects = listOf(explanation) + it.effects) }
     } else {
-        val waiting = task.copy(notBeforeMilliseconds = nowMilliseconds + SCORING_BACKOFF_MILLISECONDS)
+        val waiting = task.copy(
+            notBeforeMilliseconds = nowMilliseconds + SCORING_BACKOFF_MILLISECONDS,
+            scoringErrors = errors,
+        )
         Transition(withTask(job, waiting))
     }
 }
