Place tasks by the engines' pace and move long texts off slow engines

Cause: engines of one pool differ in pace, some threefold for seconds. Tasks were placed by occupancy and by their group's engine alone.

Change: the pace of each engine is measured from the intervals between events. Placement adds an engine's slowness to its occupancy, and prefers the group's engine only within three eighths of that. A running text goes on, after its last event, at a faster engine with a free slot where it is expected to gain 400 ms.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/Backend.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/Backend.kt
@@ -13,6 +13,7 @@
  * @property avoidedUntilMilliseconds time until which other backend servers are preferred
  * @property load number of running and queued requests in the last load report
  * @property loadMilliseconds time of the last load report
+ * @property pace how fast the engine generates the texts of this instance's tasks
  */
 public data class Backend(
     val entry: BackendServerEntry,
@@ -22,6 +23,7 @@
     val avoidedUntilMilliseconds: Long = 0,
     val load: Int = 0,
     val loadMilliseconds: Long = Long.MIN_VALUE / 2,
+    val pace: EnginePace = EnginePace(),
 )
 
 /** Weight version of [model] on this backend server; 0 if it does not serve the model. */
@@ -104,7 +106,7 @@
  * Occupied share of the slots, rounded down to eighths so that servers of nearly equal load tie and the local failure
  * domain is preferred.
  */
-private fun Backend.occupancy(nowMilliseconds: Long): Int {
+internal fun Backend.occupancy(nowMilliseconds: Long): Int {
     val reported = if (nowMilliseconds - loadMilliseconds < MAX_LOAD_AGE_MILLISECONDS) load else 0
     return maxOf(inFlight, reported) * OCCUPANCY_STEPS / entry.slots.coerceAtLeast(1)
 }
@@ -138,7 +140,7 @@
 private const val MAX_LOAD_AGE_MILLISECONDS = 300L
 
 /** Number of levels that occupancy is rounded to. */
-private const val OCCUPANCY_STEPS = 8
+internal const val OCCUPANCY_STEPS: Int = 8
 
 // Prime and offset basis of the 64-bit FNV-1a hash.
 private const val FNV_PRIME = 1_099_511_628_211L
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DecideTraffic.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DecideTraffic.kt
@@ -111,4 +111,5 @@
         .andThen { it.loadOwnJobs(nowMilliseconds) }
         .andThen { it.takeOverJobs(nowMilliseconds) }
         .andThen { it.dispatchTasks(nowMilliseconds) }
+        .andThen { it.moveTasks(nowMilliseconds) }
         .andThen { it.saveProgress(nowMilliseconds) }
--- /dev/null
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/MoveTasks.kt
@@ -0,0 +1,87 @@
+/**
+ * Moves running tasks from slow engines to faster ones with free slots. The other engine reads the prompt and the text
+ * so far in some tens of milliseconds and resumes after the last event, so a long task gains seconds.
+ */
+package org.mulberrypin.decisions.traffic
+
+import org.mulberrypin.decisions.Transition
+import org.mulberrypin.decisions.andThen
+import org.mulberrypin.decisions.decideEach
+
+/** Moves the tasks that gain most; called after the waiting tasks were dispatched, which have the first claim on slots. */
+internal fun TrafficState.moveTasks(nowMilliseconds: Long): Transition<TrafficState, TrafficEffect> {
+    val hasSlowEngine = backends.values.mapNotNull { it.knownPace(nowMilliseconds) }.let { paces ->
+        paces.isNotEmpty() && paces.max() > paces.min() * MIN_PACE_RATIO
+    }
+    if (!hasSlowEngine) return Transition(this)
+    val movable = jobs.values.flatMap { job ->
+        job.tasks.values.filter { it.phase == TaskPhase.RUNNING && isMovable(it, nowMilliseconds) }.map { job.record.id to it }
+    }
+    val slowestFirst = movable.sortedByDescending { (_, task) ->
+        backends[task.server.orEmpty()]?.knownPace(nowMilliseconds) ?: 0.0
+    }
+    return decideEach(slowestFirst.take(MAX_MOVES_PER_TICK)) { state, (jobId, task) ->
+        state.moveTask(jobId, task, nowMilliseconds)
+    }
+}
+
+private fun isMovable(
+    task: TaskProgress,
+    nowMilliseconds: Long,
+): Boolean =
+    task.lastEvent - task.attemptStartEvent >= MIN_EVENTS_BEFORE_MOVE &&
+        nowMilliseconds - task.sentMilliseconds >= MIN_MILLISECONDS_BETWEEN_MOVES
+
+private fun TrafficState.moveTask(
+    jobId: String,
+    task: TaskProgress,
+    nowMilliseconds: Long,
+): Transition<TrafficState, TrafficEffect> {
+    val job = jobs[jobId]
+    val source = backends[task.server.orEmpty()]
+    val sourcePace = source?.knownPace(nowMilliseconds)
+    val route = job?.let { routing?.findRoute(it.record.host, task.task.path) }
+    if (job == null || source == null || sourcePace == null || route == null) return Transition(this)
+    val target = availableEngines(job, route, task, nowMilliseconds)
+        .filter { it.entry.id != source.entry.id && it.refusals == 0 }
+        .mapNotNull { engine -> engine.knownPace(nowMilliseconds)?.let { engine to it } }
+        .minByOrNull { (_, pace) -> pace }
+    val isWorthwhile = target != null && sourcePace > target.second * MIN_PACE_RATIO &&
+        expectedRemainingEvents(task) * (sourcePace - target.second) > MIN_GAIN_MILLISECONDS
+    if (target == null || !isWorthwhile) return Transition(this)
+    val inputs = "lastEvent=${task.lastEvent} pace=${sourcePace.toInt()} to=${target.first.entry.id} " +
+        "itsPace=${target.second.toInt()}"
+    val waiting = task.copy(phase = TaskPhase.WAITING)
+    val released = copy(backends = backends.updated(source.entry.id, Backend::released)).withTask(job, waiting)
+    val cancelled = Transition(
+        released,
+        listOf(
+            TrafficEffect.RecordDecision(task.task.id, "moved", source.entry.id, inputs),
+            TrafficEffect.CancelTask(jobId, task.task.id),
+        ),
+    )
+    return cancelled.andThen { state ->
+        state.jobs[jobId]?.let { state.sendTask(it, waiting, target.first, nowMilliseconds) } ?: Transition(state)
+    }
+}
+
+/** Lengths spread over more than a decade, so a text is expected to go on for about as long as it has become. */
+private fun expectedRemainingEvents(task: TaskProgress): Long = maxOf(task.lastEvent, MIN_EXPECTED_EVENTS)
+
+/** Ratio of the paces of two engines from which a move is considered; smaller ones are within what a batch does. */
+private const val MIN_PACE_RATIO = 1.2
+
+/** Smallest expected gain of a move, in milliseconds: ten times the time to read the prompt and the text again. */
+private const val MIN_GAIN_MILLISECONDS = 400.0
+
+/** Events that an attempt must have generated before its task is moved. */
+private const val MIN_EVENTS_BEFORE_MOVE = 4L
+
+/** Minimum time at one engine, in milliseconds, so that a task does not go to and fro. */
+private const val MIN_MILLISECONDS_BETWEEN_MOVES = 600L
+
+/** Expected remaining events of a text that has only begun. */
+private const val MIN_EXPECTED_EVENTS = 10L
+
+/** Moves in one tick; each changes what the next one is decided on. */
+private const val MAX_MOVES_PER_TICK = 4
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
@@ -77,7 +77,7 @@
     }
 }
 
-private fun TrafficState.sendTask(
+internal fun TrafficState.sendTask(
     job: RunningJob,
     task: TaskProgress,
     chosen: Backend,
@@ -89,6 +89,8 @@
         attempt = task.attempt + 1,
         server = chosen.entry.id,
         lastActivityMilliseconds = nowMilliseconds,
+        sentMilliseconds = nowMilliseconds,
+        attemptStartEvent = task.lastEvent,
         currentVersion = chosen.versionOf(job.submission.model),
     )
     val next = withTask(job, started).copy(backends = backends.updated(chosen.entry.id, Backend::acquired))
@@ -126,31 +128,48 @@
     }
 }
 
-/** Selects an engine with suitable weights and a free slot, preferably one that has processed the group's prompt. */
+/**
+ * Selects an engine with suitable weights and a free slot: one that is neither occupied nor slow, with a preference for
+ * engines that have read the group's prompt.
+ */
 private fun TrafficState.chooseEngine(
     job: RunningJob,
     route: ServingRoute,
     task: TaskProgress,
     nowMilliseconds: Long,
 ): Backend? {
+    val available = availableEngines(job, route, task, nowMilliseconds)
+    if (available.isEmpty()) return null
+    val groupServers = job.tasks.values
+        .filter { it.task.group == task.task.group && it.task.id != task.task.id }
+        .mapNotNullTo(HashSet()) { it.server }
+    val bestPace = available.mapNotNull { it.knownPace(nowMilliseconds) }.minOrNull()
+    val seed = stableHash(0, task.task.group)
+    return available.minWithOrNull(
+        compareBy<Backend> { engine ->
+            val affinity = if (engine.entry.id in groupServers) GROUP_AFFINITY else 0
+            engine.occupancy(nowMilliseconds) + engine.slowness(bestPace, nowMilliseconds) - affinity
+        }.thenBy { it.entry.failureDomain != identity.failureDomain }
+            .thenBy { stableHash(seed, it.entry.id) },
+    )
+}
+
+/** Engines that could run a task now. */
+internal fun TrafficState.availableEngines(
+    job: RunningJob,
+    route: ServingRoute,
+    task: TaskProgress,
+    nowMilliseconds: Long,
+): List<Backend> {
     val pools = route.pools.mapTo(HashSet()) { it.pool }
     val model = job.submission.model
-    val available = backends.values.filter { backend ->
+    return backends.values.filter { backend ->
         backend.entry.pool in pools && !backend.entry.leaving &&
             backend.versionOf(model) >= job.submission.minimumVersion &&
             matchesVersion(route, task, backend.versionOf(model)) &&
             backend.inFlight < backend.entry.slots &&
             backend.avoidedUntilMilliseconds <= nowMilliseconds
     }
-    val groupServers = job.tasks.values
-        .filter { it.task.group == task.task.group && it.task.id != task.task.id }
-        .mapNotNullTo(HashSet()) { it.server }
-    return chooseBackend(
-        available.filter { it.entry.id in groupServers }.ifEmpty { available },
-        identity.failureDomain,
-        stableHash(0, task.task.group),
-        nowMilliseconds,
-    )
 }
 
 private fun matchesVersion(
@@ -235,23 +254,39 @@
     decideCurrentAttempt(event) { job, before ->
         val inOrder = event.events.withIndex().takeWhile { (index, next) -> next.id == before.lastEvent + 1 + index }
         val task = inOrder.fold(before) { task, (_, next) -> task.withEvent(next) }
+        val measured = withMeasuredPace(before, inOrder.size, nowMilliseconds)
         val outOfOrder = event.events.getOrNull(inOrder.size)
         when {
             hasMixedVersions(job, task) -> {
-                restartTask(job, task, nowMilliseconds)
+                measured.restartTask(job, task, nowMilliseconds)
             }
 
             outOfOrder == null -> {
-                Transition(withTask(job, task.copy(lastActivityMilliseconds = nowMilliseconds)))
+                Transition(measured.withTask(job, task.copy(lastActivityMilliseconds = nowMilliseconds)))
             }
 
             else -> {
                 val detail = "event ${outOfOrder.id} after event ${task.lastEvent}"
-                failTaskAttempt(job, task, detail, nowMilliseconds, cancel = true)
+                measured.failTaskAttempt(job, task, detail, nowMilliseconds, cancel = true)
             }
         }
     }
 
+/** Measures the pace of a task's engine; the first event of an attempt is left out, since it includes the queue. */
+private fun TrafficState.withMeasuredPace(
+    task: TaskProgress,
+    events: Int,
+    nowMilliseconds: Long,
+): TrafficState {
+    if (task.lastEvent == task.attemptStartEvent) return this
+    val elapsed = nowMilliseconds - task.lastActivityMilliseconds
+    return copy(
+        backends = backends.updated(task.server.orEmpty()) {
+            it.copy(pace = it.pace.measured(events, elapsed, nowMilliseconds))
+        },
+    )
+}
+
 private fun TaskProgress.withEvent(event: TaskEvent): TaskProgress {
     val version = event.version ?: currentVersion
     return copy(
@@ -346,6 +381,9 @@
     attempt: Int,
 ): TaskProgress? = tasks[task]?.takeIf { it.phase == TaskPhase.RUNNING && it.attempt == attempt }
 
+/** Occupancy, in eighths of the slots, that an engine which has read the group's prompt may have beyond another one. */
+private const val GROUP_AFFINITY = 3
+
 /** Backoff after a task failed with an error, in milliseconds: about three times the interval between events. */
 private const val ERROR_BACKOFF_MILLISECONDS = 100L
 
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunningJob.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunningJob.kt
@@ -64,6 +64,8 @@
  * @property errors number of responses with status 500
  * @property scoringErrors number of responses with status 500 to its scoring calls
  * @property lastActivityMilliseconds time of the last dispatch, response or event, for detecting a stalled engine
+ * @property sentMilliseconds time at which the current attempt was sent
+ * @property attemptStartEvent number of the last event received before the current attempt
  * @property restarts number of times the output was discarded and generation started over
  * @property isTextComplete true once an engine has ended the stream without an error
  */
@@ -82,6 +84,8 @@
     val errors: Int = 0,
     val scoringErrors: Int = 0,
     val lastActivityMilliseconds: Long = 0,
+    val sentMilliseconds: Long = 0,
+    val attemptStartEvent: Long = 0,
     val restarts: Int = 0,
     val isTextComplete: Boolean = false,
 )
