Count calls from head to written response, and refuse late ones, in a planned stop

Cause: the end of a drain waited for a count that was as old as the last tick (50 ms) and left out calls whose body was still being read or whose response was not written; at the end of the grace period, calls that had just been passed on were cut.

Change: the front end counts open calls itself. After the balancer has noticed and jobs are released, calls that still arrive are refused as not run with a time to come back, so that what was passed on before can end.

Failed first: PlannedStopTest (16 callers on kept and new connections until the port is gone) found requests that were passed on and not answered.

--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
@@ -17,6 +17,7 @@
 import org.mulberrypin.runtime.ServiceClock
 import java.net.InetSocketAddress
 import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.atomic.AtomicInteger
 
 /**
  * A running entry instance.
@@ -95,6 +96,10 @@
     val hasConfiguration = AtomicBoolean()
     val hasBackends = AtomicBoolean()
     val draining = AtomicBoolean()
+    val refusing = AtomicBoolean()
+
+    /** Number of calls whose head has arrived and whose response is not written yet. */
+    val openCalls = AtomicInteger()
 
     fun isReady(): Boolean =
         hasConfiguration.get() && hasBackends.get() && !draining.get() &&
@@ -158,6 +163,9 @@
         onCall = traffic::submit,
         onDisconnect = { traffic.enqueue(TrafficEvent.CallerDisconnected(it)) },
         isReady = readiness::isReady,
+        onOpened = { readiness.openCalls.incrementAndGet() },
+        onClosed = { readiness.openCalls.decrementAndGet() },
+        isRefusing = readiness.refusing::get,
         isDraining = readiness.draining::get,
         scrape = registry::scrape,
     )
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentShutdown.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentShutdown.kt
@@ -5,8 +5,9 @@
 
 /**
  * Drains an instance without cutting off requests. The instance first reports itself unready to the load balancer and
- * asks callers to close their connections with each response, then releases its jobs to other instances. The drain ends
- * once nothing is in flight or the grace period is nearly over.
+ * asks callers to close their connections with each response, then releases its jobs to other instances. From then on it
+ * refuses calls that still arrive on kept connections, so that what it has passed on can end within the grace period. The
+ * drain ends once no call is open, as counted from its head to the end of its response, and no task is running.
  */
 internal class DeploymentShutdown(
     private val graceMilliseconds: Long,
@@ -23,7 +24,10 @@
         waitUntil(startMilliseconds + BALANCER_DETECTION_MILLISECONDS) { false }
         traffic.enqueue(TrafficEvent.ReleaseJobs)
         waitUntil(startMilliseconds + BALANCER_DETECTION_MILLISECONDS + JOB_RELEASE_MILLISECONDS) { false }
-        waitUntil(startMilliseconds + graceMilliseconds - EXIT_RESERVE_MILLISECONDS) { traffic.inFlightCount == 0 }
+        readiness.refusing.set(true)
+        waitUntil(startMilliseconds + graceMilliseconds - EXIT_RESERVE_MILLISECONDS) {
+            readiness.openCalls.get() == 0 && traffic.inFlightCount == 0
+        }
     }
 
     private fun waitUntil(
@@ -42,6 +46,6 @@
 
         /** Part of the grace period reserved for process exit, in milliseconds. */
         private const val EXIT_RESERVE_MILLISECONDS = 1_000L
-        private const val POLL_INTERVAL_MILLISECONDS = 100L
+        private const val POLL_INTERVAL_MILLISECONDS = 20L
     }
 }
