Fill engines that are expected to load weights last

Cause: a step arrives some hundred milliseconds after a version was named, while the first two engines load it.

Change: the order of loads is a pure function that the lease holder and all other instances share; an engine that is due next gets tasks once the others are full.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DecideTraffic.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DecideTraffic.kt
@@ -19,6 +19,7 @@
 ): Transition<TrafficState, TrafficEffect> =
     when (event) {
         is TrafficEvent.ConfigurationChanged -> Transition(state.copy(routing = routingTableOf(event.configuration)))
+        is TrafficEvent.VersionsNamed -> Transition(state.copy(namedVersions = event.versions).withExpectedLoads())
         is TrafficEvent.BackendsChanged -> state.updateBackends(event, nowMilliseconds)
         is TrafficEvent.LiveInstancesRead -> Transition(state.copy(liveInstances = event.live))
         is TrafficEvent.RequestEvent -> state.decideRequest(event, nowMilliseconds)
@@ -75,7 +76,7 @@
     event: TrafficEvent.BackendsChanged,
     nowMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> {
-    val updated = copy(backends = backends.reconciledWith(event.entries).withInFlightCounts(this))
+    val updated = copy(backends = backends.reconciledWith(event.entries).withInFlightCounts(this)).withExpectedLoads()
     return Transition<TrafficState, TrafficEffect>(updated).andDispatchTasks(nowMilliseconds)
 }
 
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/MoveTasks.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/MoveTasks.kt
@@ -15,7 +15,10 @@
     }
     if (!hasSlowEngine) return Transition(this)
     val movable = jobs.values.flatMap { job ->
-        job.tasks.values.filter { it.phase == TaskPhase.RUNNING && isMovable(it, nowMilliseconds) }.map { job.record.id to it }
+        job.tasks.values.filter { it.phase == TaskPhase.RUNNING && isMovable(it, nowMilliseconds) }.map {
+            job.record.id to
+                it
+        }
     }
     val slowestFirst = movable.sortedByDescending { (_, task) ->
         backends[task.server.orEmpty()]?.knownPace(nowMilliseconds) ?: 0.0
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
@@ -148,7 +148,8 @@
     return available.minWithOrNull(
         compareBy<Backend> { engine ->
             val affinity = if (engine.entry.id in groupServers) GROUP_AFFINITY else 0
-            engine.occupancy(nowMilliseconds) + engine.slowness(bestPace, nowMilliseconds) - affinity
+            val loading = if (engine.entry.id in loadingServers) LOADING_PENALTY else 0
+            engine.occupancy(nowMilliseconds) + engine.slowness(bestPace, nowMilliseconds) + loading - affinity
         }.thenBy { it.entry.failureDomain != identity.failureDomain }
             .thenBy { stableHash(seed, it.entry.id) },
     )
@@ -384,6 +385,9 @@
 /** Occupancy, in eighths of the slots, that an engine which has read the group's prompt may have beyond another one. */
 private const val GROUP_AFFINITY = 3
 
+/** Penalty of an engine that is expected to load weights: all other engines are filled first. */
+private const val LOADING_PENALTY = 32
+
 /** Backoff after a task failed with an error, in milliseconds: about three times the interval between events. */
 private const val ERROR_BACKOFF_MILLISECONDS = 100L
 
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEvent.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEvent.kt
@@ -32,6 +32,11 @@
         val entries: List<BackendServerEntry>,
     ) : TrafficEvent
 
+    /** Weight versions were named; [versions] has the newest version of each model. */
+    public data class VersionsNamed(
+        val versions: Map<String, Long>,
+    ) : TrafficEvent
+
     /**
      * A client sent a request.
      *
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficState.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficState.kt
@@ -13,6 +13,8 @@
  * @property jobs batch jobs that this instance runs, by job identifier
  * @property loading jobs of this instance that are being loaded, with the time at which loading began, in milliseconds
  * @property carriedTasks partial results of ended jobs that a later job may resume, by task identifier
+ * @property namedVersions weight version that the engines should load, by model
+ * @property loadingServers engines that are expected to load weights now and refuse tasks meanwhile
  * @property liveInstances instances that are sending heartbeats
  * @property nextInternalRequest number of the next request that this instance originates; counts down from -1 so
  * that it never equals a request number of the front end
@@ -26,6 +28,8 @@
     val jobs: PersistentMap<String, RunningJob> = persistentMapOf(),
     val loading: PersistentMap<String, Long> = persistentMapOf(),
     val carriedTasks: PersistentMap<String, CarriedTask> = persistentMapOf(),
+    val namedVersions: Map<String, Long> = emptyMap(),
+    val loadingServers: Set<String> = emptySet(),
     val liveInstances: List<LiveInstance> = emptyList(),
     val draining: Boolean = false,
     val nextInternalRequest: Long = -1,
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/weights/DecideWeights.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/weights/DecideWeights.kt
@@ -6,7 +6,6 @@
 package org.mulberrypin.decisions.weights
 
 import org.mulberrypin.decisions.Transition
-import org.mulberrypin.schema.generated.BackendServerEntry
 
 /** Applies an event; only the instance that holds the lease for weight orders sends orders. */
 public fun decideWeights(
@@ -44,30 +43,18 @@
     val started = LinkedHashMap(unfinished)
     val effects = ArrayList<WeightEffect>()
     for (pool in pools) {
-        val available = pool.engines.filter { !it.leaving }
-        val models = assignModels(available, pool.models)
-        val due = available
-            .filter { it.id !in unfinished }
-            .mapNotNull { engine -> nextOrder(engine, models[engine.id], nowMilliseconds) }
+        val due = dueLoads(pool, targetVersions)
+            .filter { it.engine.id !in unfinished }
             .take(remainingLoads.coerceAtLeast(0))
         remainingLoads -= due.size
-        due.forEach { (engine, order) ->
-            started[engine.id] = order
-            effects.add(WeightEffect.ReadReport(engine))
+        due.forEach { load ->
+            started[load.engine.id] = PendingOrder(load.model, load.version, nowMilliseconds)
+            effects.add(WeightEffect.ReadReport(load.engine))
         }
     }
     return Transition(copy(pendingOrders = started), effects)
 }
 
-private fun WeightState.nextOrder(
-    engine: BackendServerEntry,
-    model: String?,
-    nowMilliseconds: Long,
-): Pair<BackendServerEntry, PendingOrder>? {
-    val version = model?.let(targetVersions::get) ?: return null
-    return if (versionOf(engine, model) >= version) null else engine to PendingOrder(model, version, nowMilliseconds)
-}
-
 private fun WeightState.isFinished(
     id: String,
     order: PendingOrder,
@@ -104,14 +91,6 @@
     }
 }
 
-private fun versionOf(
-    engine: BackendServerEntry,
-    model: String,
-): Long = engine.models.firstOrNull { it.name == model }?.version ?: 0
-
-/** Maximum number of engines that load weights concurrently; more than two slow each other down at the weight store. */
-private const val MAX_CONCURRENT_LOADS = 2
-
 /** Time after which a pending order that the engine has not accepted is started again, in milliseconds. */
 private const val STEP_TIMEOUT_MILLISECONDS = 1_000L
 
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
@@ -145,7 +145,10 @@
             control.offer(ControlSignal.ListsChanged(pools = it.pools))
             readiness.hasConfiguration.set(true)
         },
-        onWeights = { control.offer(ControlSignal.ListsChanged(namedWeights = it)) },
+        onWeights = { named ->
+            traffic.enqueue(TrafficEvent.VersionsNamed(named.associate { it.model to it.version }))
+            control.offer(ControlSignal.ListsChanged(namedWeights = named))
+        },
         onBackends = {
             traffic.enqueue(TrafficEvent.BackendsChanged(it))
             control.offer(ControlSignal.ListsChanged(backends = it))
