Give models to instances that can carry them; load a share of the engines at a time

Change: heartbeats carry the processor capacity from the settings, and only instances of at least half the largest run jobs while one lives; three tenths of the engines, at least two, load at a time, in the order that the expectation of loads uses; the hash is finalized as in MurmurHash3.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/Backend.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/Backend.kt
@@ -118,7 +118,14 @@
 ): Long {
     var hash = seed * FNV_PRIME + FNV_OFFSET_BASIS
     name.forEach { hash = (hash xor it.code.toLong()) * FNV_PRIME }
-    return hash xor (hash ushr HASH_FOLD_BITS)
+    return mixed(hash)
+}
+
+/** Spreads each bit of [hash] over all bits; names that differ in their last character alone would tie otherwise. */
+private fun mixed(hash: Long): Long {
+    val first = (hash xor (hash ushr HASH_FOLD_BITS)) * FIRST_MIX_FACTOR
+    val second = (first xor (first ushr HASH_FOLD_BITS)) * SECOND_MIX_FACTOR
+    return second xor (second ushr HASH_FOLD_BITS)
 }
 
 /** Backoff after the first failure, in milliseconds: about the time until a restarted process is detected. */
@@ -145,4 +152,8 @@
 // Prime and offset basis of the 64-bit FNV-1a hash.
 private const val FNV_PRIME = 1_099_511_628_211L
 private const val FNV_OFFSET_BASIS = -3_750_763_034_362_895_579L
-private const val HASH_FOLD_BITS = 29
+
+// Shift and factors of the finalizer of 64-bit MurmurHash3.
+private const val HASH_FOLD_BITS = 33
+private const val FIRST_MIX_FACTOR = -49_064_778_989_728_563L
+private const val SECOND_MIX_FACTOR = -4_265_267_296_055_464_877L
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ExpectedLoads.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ExpectedLoads.kt
@@ -1,8 +1,8 @@
 package org.mulberrypin.decisions.traffic
 
 import org.mulberrypin.decisions.weights.EnginePool
-import org.mulberrypin.decisions.weights.MAX_CONCURRENT_LOADS
 import org.mulberrypin.decisions.weights.dueLoads
+import org.mulberrypin.decisions.weights.maxConcurrentLoads
 
 /**
  * Determines the engines that the lease holder has ordered, or is about to order, to load a named version. An engine
@@ -10,11 +10,13 @@
  */
 internal fun TrafficState.withExpectedLoads(): TrafficState {
     val modelsByPool = routing?.modelsByPool.orEmpty()
-    val engines = backends.values.map { it.entry }
-    val loading = modelsByPool
+    val entries = backends.values.map { it.entry }
+    val pools = modelsByPool
         .filterValues { it.isNotEmpty() }
-        .flatMap { (pool, models) -> dueLoads(EnginePool(models, engines.filter { it.pool == pool }), namedVersions) }
-        .take(MAX_CONCURRENT_LOADS)
+        .map { (pool, models) -> EnginePool(models, entries.filter { it.pool == pool }) }
+    val loading = pools
+        .flatMap { dueLoads(it, namedVersions) }
+        .take(maxConcurrentLoads(pools.sumOf { it.engines.size }))
         .mapTo(HashSet()) { it.engine.id }
     return copy(loadingServers = loading)
 }
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/JobOwners.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/JobOwners.kt
@@ -10,13 +10,18 @@
 
 /**
  * Selects the instance that runs a new job. All jobs of a model go to one instance, so that its in-flight counts cover
- * the whole load of the model's engines and each engine has few connections.
+ * the whole load of the model's engines and each engine has few connections. The streams of a model keep a good part of
+ * a core busy, so only instances of at least half the largest capacity are considered.
  */
 internal fun TrafficState.ownerOf(record: JobRecord): LiveInstance =
-    successorOf(record) ?: LiveInstance(identity.name, identity.incarnation)
+    successorOf(record) ?: LiveInstance(identity.name, identity.incarnation, identity.capacity)
 
-private fun TrafficState.successorOf(record: JobRecord): LiveInstance? =
-    liveInstances.maxByOrNull { stableHash(stableHash(0, record.model), it.name) }
+private fun TrafficState.successorOf(record: JobRecord): LiveInstance? {
+    val largest = liveInstances.maxOfOrNull { it.capacity } ?: return null
+    return liveInstances
+        .filter { it.capacity * 2 >= largest }
+        .maxByOrNull { stableHash(stableHash(0, record.model), it.name) }
+}
 
 /**
  * Takes over jobs whose owner has failed and for which this instance is the successor. Only one process uses an
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficState.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficState.kt
@@ -36,17 +36,28 @@
     val lastTakeoverMilliseconds: Long = 0,
 )
 
-/** Identity of this instance; [incarnation] differs for each start of the process. */
+/**
+ * Identity of this instance.
+ *
+ * @property incarnation differs for each start of the process
+ * @property capacity processor capacity in hundredths of a core; 0 if unknown
+ */
 public data class InstanceIdentity(
     val name: String,
     val incarnation: Long,
     val failureDomain: String,
+    val capacity: Int = 0,
 )
 
-/** An instance that sends heartbeats and is not shutting down. */
+/**
+ * An instance that sends heartbeats and is not shutting down.
+ *
+ * @property capacity processor capacity in hundredths of a core; 0 if unknown
+ */
 public data class LiveInstance(
     val name: String,
     val incarnation: Long,
+    val capacity: Int = 0,
 )
 
 /** A batch job as read from the store; [version] is the version of its row. */
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/weights/DecideWeights.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/weights/DecideWeights.kt
@@ -39,7 +39,7 @@
 
 private fun WeightState.startOrders(nowMilliseconds: Long): Transition<WeightState, WeightEffect> {
     val unfinished = pendingOrders.filter { (id, order) -> !isFinished(id, order, nowMilliseconds) }
-    var remainingLoads = MAX_CONCURRENT_LOADS - unfinished.size
+    var remainingLoads = maxConcurrentLoads(pools.sumOf { it.engines.size }) - unfinished.size
     val started = LinkedHashMap(unfinished)
     val effects = ArrayList<WeightEffect>()
     for (pool in pools) {
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/weights/DueLoads.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/weights/DueLoads.kt
@@ -33,5 +33,15 @@
     model: String,
 ): Long = engine.models.firstOrNull { it.name == model }?.version ?: 0
 
-/** Maximum number of engines that load weights concurrently; more than two slow each other down at the weight store. */
-public const val MAX_CONCURRENT_LOADS: Int = 2
+/**
+ * Maximum number of [engines] that load weights concurrently. The others go on taking new tasks, and few loads at a time
+ * do not slow each other down at the weight store; with a fixed number, many engines would never catch up with versions
+ * that are named every few seconds.
+ */
+public fun maxConcurrentLoads(engines: Int): Int = maxOf(MIN_CONCURRENT_LOADS, engines * LOADING_TENTHS / TENTHS)
+
+private const val MIN_CONCURRENT_LOADS = 2
+
+/** Share of the engines that load weights concurrently, in tenths. */
+private const val LOADING_TENTHS = 3
+private const val TENTHS = 10
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/ControlDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/ControlDuty.kt
@@ -146,6 +146,7 @@
             failureDomain = identity.failureDomain,
             sequence = heartbeatCount,
             leaving = isLeaving,
+            capacity = identity.capacity,
         )
         val value = recordJson.encodeToString(InstanceHeartbeat.serializer(), heartbeat)
         val row = RowWrite(StoreTables.INSTANCES, "", identity.name, value)
@@ -164,12 +165,12 @@
             ports.log.write(SOURCE, identity.name, "instances not read", "store", outcome.fault.toString())
         }
         if (outcome !is Outcome.Success) return
-        val previous = heartbeatTracker.liveInstances().map { LiveInstance(it.name, it.incarnation) }
+        val previous = heartbeatTracker.liveInstances().map { LiveInstance(it.name, it.incarnation, it.capacity) }
         heartbeatTracker =
             heartbeatTracker.withReading(
                 outcome.value.mapNotNull { ports.log.decodeRecord(it, InstanceHeartbeat.serializer()) },
             )
-        val current = heartbeatTracker.liveInstances().map { LiveInstance(it.name, it.incarnation) }
+        val current = heartbeatTracker.liveInstances().map { LiveInstance(it.name, it.incarnation, it.capacity) }
         if (current.toSet() == previous.toSet()) return
         (current - previous.toSet()).forEach { ports.log.write(SOURCE, it.name, "instance alive", "store", "$it") }
         (previous - current.toSet()).forEach { ports.log.write(SOURCE, it.name, "instance gone", "store", "$it") }
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
@@ -42,7 +42,12 @@
     metricsPort: Int,
     clock: ServiceClock,
 ): DeploymentInstance {
-    val identity = InstanceIdentity(settings.instance, clock.readWallMilliseconds(), settings.failureDomain)
+    val identity = InstanceIdentity(
+        settings.instance,
+        clock.readWallMilliseconds(),
+        settings.failureDomain,
+        settings.capacity,
+    )
     val log = startDecisionLog(identity.name, clock)
     val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     val clients = httpClients()
