--- a/service/src/main/kotlin/org/mulberrypin/service/requests/CompletionSubscriber.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/requests/CompletionSubscriber.kt
@@ -30,6 +30,7 @@
     private var promptTokens = 0L
     private var ended = false
     private var parseFault: Fault? = null
+    private var informationalHeads = 0
 
     override fun onSubscribe(subscription: Subscription) {
         this.subscription = subscription
@@ -69,7 +70,11 @@
     }
 
     private fun handleHeaders(headers: ResponseHeaders) {
-        if (!headers.status().isInformational) status = headers.status()
+        if (!headers.status().isInformational) {
+            status = headers.status()
+        } else if (++informationalHeads > MAX_INFORMATIONAL_HEADS) {
+            return cutEndless("informational heads")
+        }
         subscription.request(1)
     }
 
@@ -81,6 +86,7 @@
         }
         if (ended) return
         val chunks = eventParser.append(data.array()).mapNotNull(::handleEvent)
+        if (!ended && eventParser.unfinishedBytes > MAX_EVENT_BYTES) return cutEndless("bytes of an event")
         if (chunks.isEmpty()) subscription.request(1) else listener.onChunks(chunks) { subscription.request(1) }
         val fault = parseFault
         when {
@@ -89,6 +95,14 @@
         }
     }
 
+    /** Cancels a response without end, which closes its connection; the request may have run. */
+    private fun cutEndless(what: String) {
+        if (ended) return
+        ended = true
+        subscription.cancel()
+        listener.onFailed(AttemptEnding.CUT, "The response has too many $what.")
+    }
+
     /** Ignores events that follow the end marker or a malformed event. */
     private fun handleEvent(event: String): RequestReply.Chunk? {
         if (ended) return null
@@ -126,5 +140,11 @@
         private const val END_MARKER = "[DONE]"
         private const val DEFAULT_FINISH_REASON = "stop"
         private const val MAX_ERROR_CHARACTERS = 4_096
+
+        /** Maximum size of one event of a completion, in bytes; events hold some tokens each. */
+        private const val MAX_EVENT_BYTES = 1_048_576
+
+        /** Maximum number of informational heads before a response; backend servers send one at most. */
+        private const val MAX_INFORMATIONAL_HEADS = 16
     }
 }
--- a/service/src/main/kotlin/org/mulberrypin/service/requests/ServerSentEventParser.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/requests/ServerSentEventParser.kt
@@ -6,6 +6,10 @@
 internal class ServerSentEventParser {
     private val line = ByteArrayOutputStream()
 
+    /** Size of the line that is not complete yet, in bytes. */
+    val unfinishedBytes: Int
+        get() = line.size()
+
     /** Appends bytes and returns the data lines that are now complete, in order. */
     fun append(bytes: ByteArray): List<String> {
         val data = ArrayList<String>()
--- a/service/src/test/kotlin/org/mulberrypin/service/requests/CompletionSubscriberTest.kt
+++ b/service/src/test/kotlin/org/mulberrypin/service/requests/CompletionSubscriberTest.kt
@@ -58,6 +58,20 @@
         expectThat(endings).containsExactly(AttemptEnding.CUT.name)
     }
 
+    @Test
+    fun `reports a completion as cut once an event has no end`() {
+        repeat(2_000) { subscriber.onNext(HttpData.ofUtf8("a".repeat(1_000))) }
+        expectThat(endings).containsExactly(AttemptEnding.CUT.name)
+        expectThat(cancelled).isEqualTo(1)
+    }
+
+    @Test
+    fun `reports a completion as cut after informational heads without end`() {
+        repeat(1_000) { subscriber.onNext(ResponseHeaders.of(HttpStatus.PROCESSING)) }
+        expectThat(endings).containsExactly(AttemptEnding.CUT.name)
+        expectThat(cancelled).isEqualTo(1)
+    }
+
     private fun receive(vararg lines: String) =
         subscriber.onNext(HttpData.ofUtf8(lines.joinToString("") { "$it\n\n" }))
 
