--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/EnginePace.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/EnginePace.kt
@@ -36,7 +36,7 @@
     return pace.eventMilliseconds.takeIf { isRecent && pace.samples >= MIN_PACE_SAMPLES }
 }
 
-/** Share by which an engine is slower than one with [bestPace], in eighths as occupancy is; 0 if its pace is unknown. */
+/** Share by which an engine is slower than one with [bestPace], in eighths like occupancy; 0 if its pace is unknown. */
 internal fun Backend.slowness(
     bestPace: Double?,
     nowMilliseconds: Long,
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/MoveTasks.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/MoveTasks.kt
@@ -8,7 +8,7 @@
 import org.mulberrypin.decisions.andThen
 import org.mulberrypin.decisions.decideEach
 
-/** Moves the tasks that gain most; called after the waiting tasks were dispatched, which have the first claim on slots. */
+/** Moves the tasks that gain most. Waiting tasks have the first claim on slots and are dispatched before. */
 internal fun TrafficState.moveTasks(nowMilliseconds: Long): Transition<TrafficState, TrafficEffect> {
     val hasSlowEngine = backends.values.mapNotNull { it.knownPace(nowMilliseconds) }.let { paces ->
         paces.isNotEmpty() && paces.max() > paces.min() * MIN_PACE_RATIO
@@ -40,34 +40,47 @@
     task: TaskProgress,
     nowMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> {
-    val job = jobs[jobId]
-    val source = backends[task.server.orEmpty()]
-    val sourcePace = source?.knownPace(nowMilliseconds)
-    val route = job?.let { routing?.findRoute(it.record.host, task.task.path) }
-    if (job == null || source == null || sourcePace == null || route == null) return Transition(this)
-    val target = availableEngines(job, route, task, nowMilliseconds)
-        .filter { it.entry.id != source.entry.id && it.refusals == 0 }
-        .mapNotNull { engine -> engine.knownPace(nowMilliseconds)?.let { engine to it } }
-        .minByOrNull { (_, pace) -> pace }
-    val isWorthwhile = target != null && sourcePace > target.second * MIN_PACE_RATIO &&
-        expectedRemainingEvents(task) * (sourcePace - target.second) > MIN_GAIN_MILLISECONDS
-    if (target == null || !isWorthwhile) return Transition(this)
-    val inputs = "lastEvent=${task.lastEvent} pace=${sourcePace.toInt()} to=${target.first.entry.id} " +
-        "itsPace=${target.second.toInt()}"
+    val job = jobs[jobId] ?: return Transition(this)
+    val move = findMove(job, task, nowMilliseconds) ?: return Transition(this)
+    val inputs = "lastEvent=${task.lastEvent} pace=${move.sourcePace.toInt()} to=${move.target.entry.id} " +
+        "itsPace=${move.targetPace.toInt()}"
     val waiting = task.copy(phase = TaskPhase.WAITING)
-    val released = copy(backends = backends.updated(source.entry.id, Backend::released)).withTask(job, waiting)
+    val released = copy(backends = backends.updated(task.server.orEmpty(), Backend::released)).withTask(job, waiting)
     val cancelled = Transition(
         released,
         listOf(
-            TrafficEffect.RecordDecision(task.task.id, "moved", source.entry.id, inputs),
+            TrafficEffect.RecordDecision(task.task.id, "moved", task.server.orEmpty(), inputs),
             TrafficEffect.CancelTask(jobId, task.task.id),
         ),
     )
     return cancelled.andThen { state ->
-        state.jobs[jobId]?.let { state.sendTask(it, waiting, target.first, nowMilliseconds) } ?: Transition(state)
+        state.jobs[jobId]?.let { state.sendTask(it, waiting, move.target, nowMilliseconds) } ?: Transition(state)
     }
 }
 
+/** A worthwhile move of a task; paces are times between two events in milliseconds. */
+private data class TaskMove(
+    val target: Backend,
+    val sourcePace: Double,
+    val targetPace: Double,
+)
+
+/** The fastest engine that could go on with [task], if the task is expected to gain enough there. */
+private fun TrafficState.findMove(
+    job: RunningJob,
+    task: TaskProgress,
+    nowMilliseconds: Long,
+): TaskMove? {
+    val route = routing?.findRoute(job.record.host, task.task.path) ?: return null
+    val sourcePace = backends[task.server.orEmpty()]?.knownPace(nowMilliseconds) ?: return null
+    return availableEngines(job, route, task, nowMilliseconds)
+        .filter { it.entry.id != task.server && it.refusals == 0 }
+        .mapNotNull { engine -> engine.knownPace(nowMilliseconds)?.let { TaskMove(engine, sourcePace, it) } }
+        .minByOrNull { it.targetPace }
+        ?.takeIf { sourcePace > it.targetPace * MIN_PACE_RATIO }
+        ?.takeIf { expectedRemainingEvents(task) * (sourcePace - it.targetPace) > MIN_GAIN_MILLISECONDS }
+}
+
 /** Lengths spread over more than a decade, so a text is expected to go on for about as long as it has become. */
 private fun expectedRemainingEvents(task: TaskProgress): Long = maxOf(task.lastEvent, MIN_EXPECTED_EVENTS)
 
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/weights/DueLoads.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/weights/DueLoad.kt
@@ -34,9 +34,9 @@
 ): Long = engine.models.firstOrNull { it.name == model }?.version ?: 0
 
 /**
- * Maximum number of [engines] that load weights concurrently. The others go on taking new tasks, and few loads at a time
- * do not slow each other down at the weight store; with a fixed number, many engines would never catch up with versions
- * that are named every few seconds.
+ * Maximum number of [engines] that load weights concurrently. The others go on taking new tasks, and few loads at a
+ * time do not slow each other down at the weight store; with a fixed number, many engines would never catch up with
+ * versions that are named every few seconds.
  */
 public fun maxConcurrentLoads(engines: Int): Int = maxOf(MIN_CONCURRENT_LOADS, engines * LOADING_TENTHS / TENTHS)
 
--- a/decisions/src/test/kotlin/org/mulberrypin/decisions/traffic/JobOwnerCapacityTest.kt
+++ b/decisions/src/test/kotlin/org/mulberrypin/decisions/traffic/JobOwnerCapacityTest.kt
@@ -8,8 +8,8 @@
 import strikt.assertions.isGreaterThan
 
 /**
- * Load pattern: 95 instances, two thirds of them with a quarter of the others' capacity, and jobs of many models, each of
- * which keeps a good part of a core busy at its owner.
+ * Load pattern: 95 instances, two thirds of them with a quarter of the others' capacity, and jobs of many models, each
+ * of which keeps a good part of a core busy at its owner.
  */
 class JobOwnerCapacityTest {
     private val large = (1..30).map { LiveInstance("large-$it", 1, capacity = 150) }
--- a/decisions/src/test/kotlin/org/mulberrypin/decisions/traffic/LoadingEngineTest.kt
+++ b/decisions/src/test/kotlin/org/mulberrypin/decisions/traffic/LoadingEngineTest.kt
@@ -7,8 +7,8 @@
 import strikt.assertions.isNull
 
 /**
- * Load pattern: a version is named, and the next step arrives while the first engines load it. They refuse tasks, and by
- * the time of the refusal the later tasks of the step have filled all other engines.
+ * Load pattern: a version is named, and the next step arrives while the first engines load it. They refuse tasks, and
+ * by the time of the refusal the later tasks of the step have filled all other engines.
  */
 class LoadingEngineTest {
     @Test
--- a/decisions/src/test/kotlin/org/mulberrypin/decisions/traffic/ScoringErrorsTest.kt
+++ b/decisions/src/test/kotlin/org/mulberrypin/decisions/traffic/ScoringErrorsTest.kt
@@ -6,10 +6,10 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThanOrEqualTo
 
-/** A scoring call that fails wherever it runs: its task must be given up, or the trainer waits for its group forever. */
+/** A scoring call that fails on every server: unless its task is given up, the trainer waits for its group forever. */
 class ScoringErrorsTest {
     @Test
-    fun `gives a task up when its scoring call failed as often as the route allows, with fewer servers than attempts`() {
+    fun `gives a task up when its scoring failed as often as the route allows, with fewer servers than attempts`() {
         val fixture = fixture(plainServers = 1, engines = 1)
         val calls = fixture.scoreUntilListed { response(it, status = 500) }
         expectThat(fixture.listedState()).isEqualTo(TaskState.FAILED)
@@ -33,7 +33,7 @@
         expectThat(fixture.scoreUntilListed { response(it, status = 500) }).isLessThanOrEqualTo(6)
     }
 
-    /** Runs a task to the end of its text and answers its scoring calls until its result is written; returns their number. */
+    /** Runs a task to its end and answers its scoring calls until its result is written; counts the calls. */
     private fun TrafficFixture.scoreUntilListed(answer: (TrafficEffect.Send) -> TrafficEvent): Int {
         val run = startJob(1).single()
         deliverEvents(run)
--- a/runtime/src/main/kotlin/org/mulberrypin/runtime/Duty.kt
+++ b/runtime/src/main/kotlin/org/mulberrypin/runtime/Duty.kt
@@ -7,8 +7,8 @@
 /**
  * A named thread that takes events from a bounded ring and handles them in order.
  *
- * The thread parks while its ring is empty and runs a tick handler once per tick interval. If a handler throws, be it an
- * exception or an error such as an exhausted stack, this is logged and the thread continues with the next event; the
+ * The thread parks while its ring is empty and runs a tick handler once per tick interval. If a handler throws, be it
+ * an exception or an error such as an exhausted stack, this is logged and the thread continues with the next event; the
  * failed event is not handled again. A thread that ended instead would leave a process that serves nobody and looks
  * alive.
  */
@@ -26,7 +26,7 @@
         return this
     }
 
-    /** Time since the last call of the tick handler began, or since the start before the first call, in milliseconds. */
+    /** Time since the last call of the tick handler began, in milliseconds; since the start before the first call. */
     public fun millisecondsSinceTick(): Long = readTickAge()
 
     /** Stops the thread after the event that it is handling, and waits up to [waitMilliseconds] for it to end. */
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
@@ -42,12 +42,7 @@
     metricsPort: Int,
     clock: ServiceClock,
 ): DeploymentInstance {
-    val identity = InstanceIdentity(
-        settings.instance,
-        clock.readWallMilliseconds(),
-        settings.failureDomain,
-        settings.capacity,
-    )
+    val identity = identityOf(settings, clock)
     val log = startDecisionLog(identity.name, clock)
     val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     val clients = httpClients()
@@ -89,6 +84,12 @@
     }
 }
 
+private fun identityOf(
+    settings: DeploymentSettings,
+    clock: ServiceClock,
+): InstanceIdentity =
+    InstanceIdentity(settings.instance, clock.readWallMilliseconds(), settings.failureDomain, settings.capacity)
+
 /**
  * Readiness state: an instance is ready once it has a configuration and a backend server list, until it drains, unless
  * one of the duties that serve callers has stalled.
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentShutdown.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentShutdown.kt
@@ -5,9 +5,9 @@
 
 /**
  * Drains an instance without cutting off requests. The instance first reports itself unready to the load balancer and
- * asks callers to close their connections with each response, then releases its jobs to other instances. From then on it
- * refuses calls that still arrive on kept connections, so that what it has passed on can end within the grace period. The
- * drain ends once no call is open, as counted from its head to the end of its response, and no task is running.
+ * asks callers to close their connections with each response, then releases its jobs to other instances. From then on
+ * it refuses calls that still arrive on kept connections, so that what it has passed on can end within the grace
+ * period. The drain ends once no call is open, as counted from its head to the end of its response, and no task runs.
  */
 internal class DeploymentShutdown(
     private val graceMilliseconds: Long,
