Look for moves only among tasks on slow engines

The four slowest tasks were looked at in each tick, whether or not an engine could take them over, so that others waited. Now those on engines slower than the fastest by a fifth, up to eight.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/MoveTasks.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/MoveTasks.kt
@@ -10,19 +10,17 @@
 
 /** Moves the tasks that gain most. Waiting tasks have the first claim on slots and are dispatched before. */
 internal fun TrafficState.moveTasks(nowMilliseconds: Long): Transition<TrafficState, TrafficEffect> {
-    val hasSlowEngine = backends.values.mapNotNull { it.knownPace(nowMilliseconds) }.let { paces ->
-        paces.isNotEmpty() && paces.max() > paces.min() * MIN_PACE_RATIO
-    }
-    if (!hasSlowEngine) return Transition(this)
+    val paces = backends.values
+        .mapNotNull { engine -> engine.knownPace(nowMilliseconds)?.let { engine.entry.id to it } }
+        .toMap()
+    val slowPace = (paces.values.minOrNull() ?: return Transition(this)) * MIN_PACE_RATIO
+    val slowServers = paces.filterValues { it > slowPace }.keys
     val movable = jobs.values.flatMap { job ->
-        job.tasks.values.filter { it.phase == TaskPhase.RUNNING && isMovable(it, nowMilliseconds) }.map {
-            job.record.id to
-                it
-        }
-    }
-    val slowestFirst = movable.sortedByDescending { (_, task) ->
-        backends[task.server.orEmpty()]?.knownPace(nowMilliseconds) ?: 0.0
+        job.tasks.values
+            .filter { it.server in slowServers && isMovable(it, nowMilliseconds) }
+            .map { task -> job.record.id to task }
     }
+    val slowestFirst = movable.sortedByDescending { (_, task) -> paces[task.server] }
     return decideEach(slowestFirst.take(MAX_MOVES_PER_TICK)) { state, (jobId, task) ->
         state.moveTask(jobId, task, nowMilliseconds)
     }
@@ -32,7 +30,8 @@
     task: TaskProgress,
     nowMilliseconds: Long,
 ): Boolean =
-    task.lastEvent - task.attemptStartEvent >= MIN_EVENTS_BEFORE_MOVE &&
+    task.phase == TaskPhase.RUNNING &&
+        task.lastEvent - task.attemptStartEvent >= MIN_EVENTS_BEFORE_MOVE &&
         nowMilliseconds - task.sentMilliseconds >= MIN_MILLISECONDS_BETWEEN_MOVES
 
 private fun TrafficState.moveTask(
@@ -100,4 +99,4 @@
 private const val MIN_EXPECTED_EVENTS = 10L
 
 /** Moves in one tick; each changes what the next one is decided on. */
-private const val MAX_MOVES_PER_TICK = 4
+private const val MAX_MOVES_PER_TICK = 8
