Leave calls time to end in a planned stop with a short grace period

Its grace period is 4 s, so refusals began at 3.0 s, just when the drain ended; the instance stopped 3 ms later with 8 calls under way. Ruled out: the count of open calls; the wait for it had no time.

Change: refusals begin at least 1 s before the end of the drain; the time for the balancer and for giving jobs away is shortened where the grace period is short. With the 8 s of the deployments nothing changes.

--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentShutdown.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentShutdown.kt
@@ -18,14 +18,19 @@
 ) {
     fun drain() {
         val startMilliseconds = clock.readMilliseconds()
+        val endMilliseconds = startMilliseconds + graceMilliseconds - EXIT_RESERVE_MILLISECONDS
+        val refusalMilliseconds = minOf(
+            startMilliseconds + BALANCER_DETECTION_MILLISECONDS + JOB_RELEASE_MILLISECONDS,
+            endMilliseconds - FINISH_MILLISECONDS,
+        )
         readiness.draining.set(true)
         traffic.enqueue(TrafficEvent.DrainStarted)
         control.offer(ControlSignal.DrainStarted)
-        waitUntil(startMilliseconds + BALANCER_DETECTION_MILLISECONDS) { false }
+        waitUntil(refusalMilliseconds - JOB_RELEASE_MILLISECONDS) { false }
         traffic.enqueue(TrafficEvent.ReleaseJobs)
-        waitUntil(startMilliseconds + BALANCER_DETECTION_MILLISECONDS + JOB_RELEASE_MILLISECONDS) { false }
+        waitUntil(refusalMilliseconds) { false }
         readiness.refusing.set(true)
-        waitUntil(startMilliseconds + graceMilliseconds - EXIT_RESERVE_MILLISECONDS) {
+        waitUntil(endMilliseconds) {
             readiness.openCalls.get() == 0 && traffic.inFlightCount == 0
         }
     }
@@ -44,6 +49,9 @@
         /** Time for the writes that release jobs, in milliseconds. */
         private const val JOB_RELEASE_MILLISECONDS = 400L
 
+        /** Minimum time for calls that were passed on to end, in milliseconds; a short grace period is divided anew. */
+        private const val FINISH_MILLISECONDS = 1_000L
+
         /** Part of the grace period reserved for process exit, in milliseconds. */
         private const val EXIT_RESERVE_MILLISECONDS = 1_000L
         private const val POLL_INTERVAL_MILLISECONDS = 20L
