--- a/review/5/CaseScore.java
+++ b/review/5/CaseScore.java
@@ -1,10 +1,17 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
 
-/** Reward calls are answered with failures other than 500. */
+/** One of seven servers of a service that scores answers two in five reward calls with failures other than 500. */
 final class CaseScore {
     private static final String JOB = "7c41e09b52d6a3f8";
+    private static final int SERVERS = 7;
+    private static final int ITEMS = 120;
+    private static final double LARGEST_DOSE = 0.4;
+    private static final int[] STATUSES = {404, 413, 422, 429};
+    private static final AtomicInteger calls = new AtomicInteger();
+    private static final AtomicInteger failures = new AtomicInteger();
 
     public static void main(String[] arguments) {
         Scene.play(arguments, CaseScore::isBroken);
@@ -22,39 +29,40 @@
             ),
             List.of(Scene.tenant("team-a", "key-a"))
         );
-        for (int i = 1; i <= 3; i++) startService(scene, "shop-" + i);
+        for (int i = 1; i <= SERVERS; i++) startService(scene, "shop-" + i, scene.trouble && i == SERVERS);
         for (int i = 1; i <= 2; i++) {
-            new Engine(scene, "lm-" + i, "sorter-lm", "m0", 12, 20, (item, event) -> "part " + event);
+            new Engine(scene, "lm-" + i, "sorter-lm", "m0", 12, 10, (item, event) -> "part " + event);
         }
         Scene.Entry entry = scene.startEntry("entry-1");
         List<Object> items = new ArrayList<>();
-        for (String status : new String[] {"200", "404", "413", "422", "429"}) {
-            items.add(Scene.item(
-                "item-" + status, "/notes/" + status, "m0", "group", Scene.reward("reward-" + status, "/score/5e")
-            ));
+        for (int i = 1; i <= ITEMS; i++) {
+            items.add(Scene.item("item" + i, "/notes/" + i, "m0", "group" + i, Scene.reward("reward" + i, "/score/5e")));
         }
         Wire.Message accepted = scene.submit(entry, JOB, "/notes/2f", "key-a", Json.of(
-            "step", 1, "model", "m0", "minVersion", 1, "targetCount", 1, "items", items
+            "step", 1, "model", "m0", "minVersion", 1, "targetCount", ITEMS, "items", items
         ));
         scene.note("the batch job is answered " + Scene.describe(accepted));
-        Scene.pause(8000);
+        Scene.pause(10000);
         boolean broken = false;
-        for (Object element : (List<?>) scene.results(entry, JOB, 0, "key-a").get("results")) {
-            Map<?, ?> result = (Map<?, ?>) element;
+        List<Map<?, ?>> results = scene.allResults(entry, JOB, "key-a");
+        scene.note(results.size() + " of " + ITEMS + " items are listed");
+        for (Map<?, ?> result : results) {
             Object score = result.get("score");
-            scene.note("result " + result.get("id") + " is " + result.get("state") + " with score " + score);
             boolean isProof = score != null && ((String) score).startsWith("proof-of-200");
-            broken |= result.get("state").equals("completed") && !isProof;
+            if (isProof) continue;
+            scene.note("result " + result.get("id") + " is " + result.get("state") + " with score " + score);
+            broken |= result.get("state").equals("completed");
         }
+        if (scene.trouble) scene.requireDose("failures of shop-7", failures.get(), calls.get(), LARGEST_DOSE);
         return broken;
     }
 
-    /** Answers a reward call with the status that the end of its identifier names. */
-    private static void startService(Scene scene, String server) throws Exception {
+    private static void startService(Scene scene, String server, boolean isFaulty) throws Exception {
         Wire.Server plain = new Wire.Server("127.0.0.1", (request, connection) -> {
             String id = request.header("mulberrypin-request-id");
-            int status = scene.trouble ? Integer.parseInt(id.substring(id.length() - 3)) : 200;
-            scene.note("server " + server + " answers " + id + " with " + status);
+            boolean fails = isFaulty && calls.incrementAndGet() % 5 >= 3;
+            int status = fails ? STATUSES[failures.getAndIncrement() % STATUSES.length] : 200;
+            if (fails) scene.note("server " + server + " answers " + id + " with " + status);
             connection.respond(
                 status, Map.of("Mulberrypin-Request-Id", id, "Mulberrypin-Response-Seal", "proof-of-" + status + "-" + id),
                 "body".getBytes()
--- a/review/stand-ins/Scene.java
+++ b/review/stand-ins/Scene.java
@@ -225,6 +225,24 @@
         return answer == null || answer.status() != 200 ? null : Json.object(answer.text());
     }
 
+    /** Reads all listed results of a batch job, page by page. */
+    List<Map<?, ?>> allResults(Entry entry, String job, String key) throws IOException {
+        List<Map<?, ?>> all = new ArrayList<>();
+        while (true) {
+            Map<String, Object> page = results(entry, job, all.size(), key);
+            if (page == null) throw new IOException("the results of " + job + " could not be read");
+            List<?> results = (List<?>) page.get("results");
+            if (results.isEmpty()) return all;
+            for (Object result : results) all.add((Map<?, ?>) result);
+        }
+    }
+
+    /** Fails the play if a stand-in did more harm than the pages allow, as this would prove nothing. */
+    void requireDose(String what, int harmed, int answers, double limit) {
+        note(what + ": " + harmed + " of " + answers + " answers, allowed share " + limit);
+        if (harmed > answers * limit) throw new IllegalStateException(what + " is over its largest dose");
+    }
+
     static String describe(Wire.Message answer) {
         return answer == null ? "no complete answer" : answer.status() + " seal="
             + answer.header("mulberrypin-response-seal") + " body=" + answer.body().length + " bytes";
