--- a/review/5/CaseScore.java
+++ b/review/5/CaseScore.java
@@ -60,7 +60,7 @@
     private static void startService(Scene scene, String server, boolean isFaulty) throws Exception {
         Wire.Server plain = new Wire.Server("127.0.0.1", (request, connection) -> {
             String id = request.header("mulberrypin-request-id");
-            boolean fails = isFaulty && calls.incrementAndGet() % 5 >= 3;
+            boolean fails = isFaulty && calls.incrementAndGet() % 5 % 4 == 0;
             int status = fails ? STATUSES[failures.getAndIncrement() % STATUSES.length] : 200;
             if (fails) scene.note("server " + server + " answers " + id + " with " + status);
             connection.respond(
