Fail responses without a length whose connection was reset

Cause: Netty's codec ends a body without a length whenever the channel becomes inactive, after a reset or a failed write as after an orderly close.

The client factory now records how the input of a connection ended and withholds the codec's end of a response unless the server closed in order; the HTTP library then fails the response as cut off. The plain services of the own interface had the same fault and use the same function.

Ruled out: telling by the head of the response, since the HTTP library removes transfer-encoding; telling in the subscribers that the channel is closed, since a chunked response may be delivered after its connection went.

--- a/service/src/main/kotlin/org/mulberrypin/service/requests/ArmeriaBackendClient.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/requests/ArmeriaBackendClient.kt
@@ -4,6 +4,7 @@
  */
 package org.mulberrypin.service.requests
 
+import com.linecorp.armeria.client.ClientFactory
 import com.linecorp.armeria.client.RequestOptions
 import com.linecorp.armeria.client.UnprocessedRequestException
 import com.linecorp.armeria.client.WebClient
@@ -18,6 +19,7 @@
 import com.linecorp.armeria.common.RequestHeaders
 import com.linecorp.armeria.common.util.Exceptions
 import org.mulberrypin.decisions.requests.AttemptEnding
+import org.mulberrypin.platform.requireOrderlyEnds
 import org.mulberrypin.runtime.Outcome
 import org.mulberrypin.runtime.parseWireJson
 import org.mulberrypin.runtime.wireJson
@@ -32,6 +34,7 @@
     val client =
         WebClient
             .builder()
+            .factory(ClientFactory.builder().requireOrderlyEnds().build())
             .responseTimeout(Duration.ZERO)
             .maxResponseLength(MAX_SERVICE_RESPONSE_BYTES)
             .build()
