Hold back requests and tasks under which servers crash

Cause: nothing was kept about crashes. A client's request comes with a new identifier each time, and a task whose connection was lost waited for nothing. Ruled out: the limit on attempts, which held within each request.

A lost connection is now a suspicion, and any response or event clears it. Requests are counted by content, across instances in their heartbeats, and refused at once after the third crash; tasks and scoring calls wait longer each time and run without company, but are never given up for it.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/Backend.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/Backend.kt
@@ -13,6 +13,7 @@
  * @property avoidedUntilMilliseconds time until which other backend servers are preferred
  * @property load number of running and queued requests in the last load report
  * @property loadMilliseconds time of the last load report
+ * @property isIsolated true while a task runs on the engine that must not have the company of others
  * @property pace how fast the engine generates the texts of this instance's tasks
  */
 public data class Backend(
@@ -23,6 +24,7 @@
     val avoidedUntilMilliseconds: Long = 0,
     val load: Int = 0,
     val loadMilliseconds: Long = Long.MIN_VALUE / 2,
+    val isIsolated: Boolean = false,
     val pace: EnginePace = EnginePace(),
 )
 
@@ -58,8 +60,8 @@
 /** Adds a request or task to the in-flight count. */
 internal fun Backend.acquired(): Backend = copy(inFlight = inFlight + 1)
 
-/** Removes a request or task from the in-flight count. */
-internal fun Backend.released(): Backend = copy(inFlight = (inFlight - 1).coerceAtLeast(0))
+/** Removes a request or task from the in-flight count; an isolated task was the only one. */
+internal fun Backend.released(): Backend = copy(inFlight = (inFlight - 1).coerceAtLeast(0), isIsolated = false)
 
 /** Clears failures, refusals and the backoff. */
 internal fun Backend.succeeded(): Backend = copy(failures = 0, refusals = 0, avoidedUntilMilliseconds = 0)
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DecideTraffic.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DecideTraffic.kt
@@ -21,6 +21,7 @@
         is TrafficEvent.ConfigurationChanged -> Transition(state.copy(routing = routingTableOf(event.configuration)))
         is TrafficEvent.VersionsNamed -> Transition(state.copy(namedVersions = event.versions).withExpectedLoads())
         is TrafficEvent.BackendsChanged -> state.updateBackends(event, nowMilliseconds)
+        is TrafficEvent.CrashRecordsRead -> state.mergeCrashRecords(event.records, nowMilliseconds, wallMilliseconds)
         is TrafficEvent.LiveInstancesRead -> Transition(state.copy(liveInstances = event.live))
         is TrafficEvent.RequestEvent -> state.decideRequest(event, nowMilliseconds)
         is TrafficEvent.JobEvent -> state.decideJob(event, nowMilliseconds)
@@ -106,7 +107,8 @@
     wallMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> =
     expireCarriedTasks(nowMilliseconds)
-        .continueRequests(nowMilliseconds)
+        .expireSuspects(nowMilliseconds)
+        .andThen { it.continueRequests(nowMilliseconds) }
         .andThen { it.timeOutIdleTasks(nowMilliseconds) }
         .andThen { it.continueJobs(nowMilliseconds, wallMilliseconds) }
         .andThen { it.loadOwnJobs(nowMilliseconds) }
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardRequests.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardRequests.kt
@@ -27,6 +27,11 @@
             Transition(this, listOf(TrafficEffect.ReadSubmission(event.request, event.id, authorization.team)))
         }
 
+        isHeld(event.content, nowMilliseconds) -> {
+            val reason = "backend servers crashed under this request; it is held back"
+            reject(event, HttpStatusCode.UNAVAILABLE, reason, remainingHold(event.content, nowMilliseconds))
+        }
+
         else -> {
             val request = forwardedRequest(event, route, authorization.team, nowMilliseconds)
             if (request == null) {
@@ -42,10 +47,11 @@
     event: TrafficEvent.RequestArrived,
     status: Int,
     reason: String,
+    retryMilliseconds: Long? = null,
 ): Transition<TrafficState, TrafficEffect> {
     val inputs = "host=${event.host} path=${event.path} configuration=${routing?.version}"
     val explanation = TrafficEffect.RecordDecision(event.id, "refused $status", identity.name, "$reason; $inputs")
-    return Transition(this, listOf(explanation, TrafficEffect.Reject(event.request, status, reason)))
+    return Transition(this, listOf(explanation, TrafficEffect.Reject(event.request, status, reason, retryMilliseconds)))
 }
 
 private fun forwardedRequest(
@@ -67,6 +73,7 @@
         team = team,
         arrivedMilliseconds = nowMilliseconds,
         deadlineMilliseconds = nowMilliseconds + (limits.minOrNull() ?: DEFAULT_TIMEOUT_MILLISECONDS),
+        content = event.content,
     )
 }
 
@@ -75,6 +82,7 @@
     job: String,
     task: String,
     call: ScoringCall,
+    crashes: Int,
     nowMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect>? {
     val route = routing?.findRoute(call.host, call.path) ?: return null
@@ -87,6 +95,7 @@
         team = null,
         arrivedMilliseconds = nowMilliseconds,
         deadlineMilliseconds = nowMilliseconds + SCORING_TIMEOUT_MILLISECONDS,
+        crashes = crashes,
     )
     return copy(nextInternalRequest = nextInternalRequest - 1).startRequest(request, nowMilliseconds)
 }
@@ -116,6 +125,7 @@
         server = chosen.entry.id,
         tried = request.tried + chosen.entry.id,
         attemptDeadlineMilliseconds = nowMilliseconds + attemptMilliseconds(request, remaining),
+        sentMilliseconds = nowMilliseconds,
     )
     val next = copy(
         requests = requests.put(request.request, sent),
@@ -172,7 +182,10 @@
         ?: return Transition(this)
     val server = request.server.orEmpty()
     val reported = backends.updated(server) { it.released().withReportedLoad(event.load, nowMilliseconds) }
-    val unassigned = request.copy(server = null)
+    if (!event.notRun && isSuspect(request.content)) {
+        return clearSuspect(request.content, nowMilliseconds).andThen { it.handleResponse(event, nowMilliseconds) }
+    }
+    val unassigned = request.copy(server = null, crashes = if (event.notRun) request.crashes else 0)
     return when {
         event.notRun -> {
             val avoided = copy(backends = reported.updated(server) { it.overloaded(nowMilliseconds) })
@@ -218,7 +231,7 @@
     val detail = "status ${event.status}, signed=${event.signed}"
     val isScoring = request.origin is Origin.Scoring
     val mayRelay = event.status >= HttpStatusCode.REDIRECTION && !isScoring
-    return if (mayRelay && !canRetry(request)) {
+    return if (mayRelay && !canRetry(request, nowMilliseconds)) {
         finish(request, event, nowMilliseconds)
     } else {
         retryOrFail(request, detail, nowMilliseconds)
@@ -257,9 +270,14 @@
         ?: return Transition(this)
     val server = request.server.orEmpty()
     val updatedBackends = backends.updated(server) { it.released().failed(nowMilliseconds) }
-    val unassigned = request.copy(server = null, mayHaveRun = request.mayHaveRun || event.sent)
-    return copy(backends = updatedBackends, requests = requests.put(request.request, unassigned))
-        .retryOrFail(unassigned, event.detail, nowMilliseconds)
+    val unassigned = request.copy(
+        server = null,
+        mayHaveRun = request.mayHaveRun || event.sent,
+        crashes = request.crashes + if (event.connectionLost) 1 else 0,
+    )
+    val released = copy(backends = updatedBackends, requests = requests.put(request.request, unassigned))
+    val blamed = if (event.connectionLost) released.withCrash(request, nowMilliseconds) else Transition(released)
+    return blamed.andThen { it.retryOrFail(unassigned, event.detail, nowMilliseconds) }
 }
 
 /** Timeout of a request if neither the client nor the route sets one, in milliseconds. */
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardedRequest.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardedRequest.kt
@@ -25,6 +25,9 @@
  * @property mayHaveRun true once an attempt may have started to run
  * @property isCounted true once the request has been counted in the usage of its team
  * @property errors number of responses with status 500
+ * @property content digest by which crashes are counted; empty for a scoring call
+ * @property crashes consecutive attempts of a scoring call, over all its requests, whose connections were lost
+ * @property sentMilliseconds time at which the current attempt was sent
  */
 public data class ForwardedRequest(
     val request: Long,
@@ -42,4 +45,7 @@
     val mayHaveRun: Boolean = false,
     val isCounted: Boolean = false,
     val errors: Int = 0,
+    val content: String = "",
+    val crashes: Int = 0,
+    val sentMilliseconds: Long = 0,
 )
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RetryRequests.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RetryRequests.kt
@@ -6,9 +6,14 @@
 import org.mulberrypin.decisions.decideEach
 import org.mulberrypin.schema.generated.RequestKind
 
-internal fun canRetry(request: ForwardedRequest): Boolean {
+internal fun TrafficState.canRetry(
+    request: ForwardedRequest,
+    nowMilliseconds: Long,
+): Boolean {
     val isRetrySafe = request.route.kind == RequestKind.IDEMPOTENT || !request.mayHaveRun
-    return isRetrySafe && request.attempt < request.route.attemptLimit
+    val isSuspect = request.origin is Origin.Scoring && crashWait(request.crashes) > 0
+    return isRetrySafe && request.attempt < request.route.attemptLimit && !isSuspect &&
+        !isHeld(request.content, nowMilliseconds)
 }
 
 internal fun TrafficState.retryOrFail(
@@ -22,7 +27,13 @@
             TrafficEffect.RecordDecision(request.id, "attempt failed", request.tried.lastOrNull().orEmpty(), detail),
         ),
     )
-    if (!canRetry(request)) return recorded.andThen { it.failRequest(request, detail, nowMilliseconds) }
+    if (!canRetry(
+            request,
+            nowMilliseconds,
+        )
+    ) {
+        return recorded.andThen { it.failRequest(request, detail, nowMilliseconds) }
+    }
     return recorded.andThen { state ->
         val sent = state.sendRequest(request, nowMilliseconds)
         if (sent.effects.isNotEmpty()) sent else state.waitOrFail(request, detail, nowMilliseconds)
@@ -59,12 +70,13 @@
         "milliseconds=${nowMilliseconds - request.arrivedMilliseconds}"
     // A failed attempt may have run, and its outcome will stay unknown, so it counts as usage.
     val usage = request.team.takeIf { request.mayHaveRun && !request.isCounted }
+    val announced = done.announceSuspect(request.content)
     return Transition(
-        done,
-        listOfNotNull(
+        announced.state,
+        announced.effects + listOfNotNull(
             usage?.let(TrafficEffect::CountUsage),
             TrafficEffect.RecordDecision(request.id, "given up $status", identity.name, inputs),
-            TrafficEffect.Reject(request.request, status, detail),
+            TrafficEffect.Reject(request.request, status, detail, remainingHold(request.content, nowMilliseconds)),
         ),
     )
 }
@@ -103,6 +115,10 @@
             failRequest(request, "the deadline passed before a backend server was free", nowMilliseconds)
         }
 
+        server == null && isHeld(request.content, nowMilliseconds) -> {
+            failRequest(request, "backend servers crashed under this request", nowMilliseconds)
+        }
+
         server == null -> {
             val sent = sendRequest(request, nowMilliseconds)
             if (sent.effects.isNotEmpty()) {
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
@@ -93,9 +93,11 @@
         attemptStartEvent = task.lastEvent,
         currentVersion = chosen.versionOf(job.submission.model),
     )
-    val next = withTask(job, started).copy(backends = backends.updated(chosen.entry.id, Backend::acquired))
+    val acquired = backends.updated(chosen.entry.id) { it.acquired().copy(isIsolated = task.isIsolated()) }
+    val next = withTask(job, started).copy(backends = acquired)
     val inputs = "attempt=${started.attempt} job=$jobId inFlight=${chosen.inFlight} load=${chosen.load} " +
-        "weights=${started.currentVersion} minimum=${job.submission.minimumVersion} lastEvent=${task.lastEvent}"
+        "weights=${started.currentVersion} minimum=${job.submission.minimumVersion} lastEvent=${task.lastEvent} " +
+        "crashes=${task.crashes}"
     return Transition(
         next,
         listOf(
@@ -124,7 +126,7 @@
     return when {
         call == null -> finishTask(job, task, completedResult(task, ""), nowMilliseconds)
         requests.values.any { it.origin == origin } -> Transition(this)
-        else -> startScoring(job.record.id, task.task.id, call, nowMilliseconds) ?: Transition(this)
+        else -> startScoring(job.record.id, task.task.id, call, task.crashes, nowMilliseconds) ?: Transition(this)
     }
 }
 
@@ -138,7 +140,7 @@
     task: TaskProgress,
     nowMilliseconds: Long,
 ): Backend? {
-    val available = availableEngines(job, route, task, nowMilliseconds)
+    val available = enginesFor(task, availableEngines(job, route, task, nowMilliseconds), nowMilliseconds)
     if (available.isEmpty()) return null
     val groupServers = job.tasks.values
         .filter { it.task.group == task.task.group && it.task.id != task.task.id }
@@ -168,7 +170,7 @@
         backend.entry.pool in pools && !backend.entry.leaving &&
             backend.versionOf(model) >= job.submission.minimumVersion &&
             matchesVersion(route, task, backend.versionOf(model)) &&
-            backend.inFlight < backend.entry.slots &&
+            backend.inFlight < backend.entry.slots && !backend.isIsolated &&
             backend.avoidedUntilMilliseconds <= nowMilliseconds
     }
 }
@@ -180,7 +182,7 @@
 ): Boolean = !route.singleWeightVersion || task.versions.all { it == version }
 
 /** Applies a stream event with [decide], unless the event belongs to an earlier attempt. */
-private inline fun TrafficState.decideCurrentAttempt(
+internal inline fun TrafficState.decideCurrentAttempt(
     event: TrafficEvent.TaskStreamEvent,
     decide: (RunningJob, TaskProgress) -> Transition<TrafficState, TrafficEffect>,
 ): Transition<TrafficState, TrafficEffect> {
@@ -254,8 +256,9 @@
 ): Transition<TrafficState, TrafficEffect> =
     decideCurrentAttempt(event) { job, before ->
         val inOrder = event.events.withIndex().takeWhile { (index, next) -> next.id == before.lastEvent + 1 + index }
-        val task = inOrder.fold(before) { task, (_, next) -> task.withEvent(next) }
-        val measured = withMeasuredPace(before, inOrder.size, nowMilliseconds)
+        val received = inOrder.fold(before) { task, (_, next) -> task.withEvent(next) }
+        val task = if (inOrder.isEmpty()) received else received.copy(crashes = 0)
+        val measured = withMeasuredPace(before, inOrder.size, nowMilliseconds).withoutIsolation(before, task)
         val outOfOrder = event.events.getOrNull(inOrder.size)
         when {
             hasMixedVersions(job, task) -> {
@@ -288,6 +291,15 @@
     )
 }
 
+/** Lets other tasks join an isolated one that has generated an event. */
+private fun TrafficState.withoutIsolation(
+    before: TaskProgress,
+    task: TaskProgress,
+): TrafficState {
+    if (before.crashes == task.crashes) return this
+    return copy(backends = backends.updated(task.server.orEmpty()) { it.copy(isIsolated = false) })
+}
+
 private fun TaskProgress.withEvent(event: TaskEvent): TaskProgress {
     val version = event.version ?: currentVersion
     return copy(
@@ -304,7 +316,8 @@
 ): Transition<TrafficState, TrafficEffect> =
     decideCurrentAttempt(event) { job, task ->
         if (task.lastEvent == 0L) {
-            failTaskAttempt(job, task, "the stream ended without an event", nowMilliseconds)
+            val suspect = task.withLostConnection(nowMilliseconds)
+            failTaskAttempt(job, suspect, "the stream ended without an event", nowMilliseconds)
         } else {
             completeText(job, task, nowMilliseconds)
         }
@@ -323,49 +336,6 @@
         .andThen { it.dispatchIfDue(job.record.id, task.task.id, nowMilliseconds) }
 }
 
-internal fun TrafficState.handleTaskFailure(
-    event: TrafficEvent.TaskAttemptFailed,
-    nowMilliseconds: Long,
-): Transition<TrafficState, TrafficEffect> =
-    decideCurrentAttempt(event) { job, task -> failTaskAttempt(job, task, event.detail, nowMilliseconds) }
-
-/** Ends a failed attempt; the task resumes on another engine after the last received event. */
-internal fun TrafficState.failTaskAttempt(
-    job: RunningJob,
-    task: TaskProgress,
-    detail: String,
-    nowMilliseconds: Long,
-    cancel: Boolean = false,
-): Transition<TrafficState, TrafficEffect> {
-    val server = task.server.orEmpty()
-    val released = copy(backends = backends.updated(server) { it.released().failed(nowMilliseconds) })
-    val waiting = task.copy(phase = TaskPhase.WAITING)
-    val inputs = "$detail; attempt=${task.attempt} lastEvent=${task.lastEvent}"
-    return Transition(
-        released.withTask(job, waiting),
-        listOfNotNull(
-            TrafficEffect.RecordDecision(task.task.id, "attempt failed", server, inputs),
-            if (cancel) TrafficEffect.CancelTask(job.record.id, task.task.id) else null,
-        ),
-    )
-}
-
-/** Ends attempts that have received no event within [eventTimeout]. */
-internal fun TrafficState.timeOutIdleTasks(nowMilliseconds: Long): Transition<TrafficState, TrafficEffect> =
-    decideEach(jobs.values) { state, job ->
-        val idle = job.tasks.values.filter {
-            it.phase == TaskPhase.RUNNING && nowMilliseconds - it.lastActivityMilliseconds > eventTimeout(it)
-        }
-        state.decideEach(idle) { next, task ->
-            val current = next.jobs[job.record.id]
-            val detail = "no event received within the timeout"
-            current?.let { next.failTaskAttempt(it, task, detail, nowMilliseconds, cancel = true) } ?: Transition(next)
-        }
-    }
-
-private fun eventTimeout(task: TaskProgress): Long =
-    if (task.lastEvent == 0L) FIRST_EVENT_TIMEOUT_MILLISECONDS else NEXT_EVENT_TIMEOUT_MILLISECONDS
-
 internal fun TrafficState.finishTask(
     job: RunningJob,
     task: TaskProgress,
@@ -390,9 +360,3 @@
 
 /** Backoff after a task failed with an error, in milliseconds: about three times the interval between events. */
 private const val ERROR_BACKOFF_MILLISECONDS = 100L
-
-/** Timeout of the first event, including the wait in the engine's queue, in milliseconds. */
-private const val FIRST_EVENT_TIMEOUT_MILLISECONDS = 2_500L
-
-/** Longest time between events, in milliseconds: ten times the interval between the events of a slow engine. */
-private const val NEXT_EVENT_TIMEOUT_MILLISECONDS = 1_500L
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunningJob.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunningJob.kt
@@ -63,6 +63,7 @@
  * @property currentVersion weight version that generates the events of the current attempt
  * @property errors number of responses with status 500
  * @property scoringErrors number of responses with status 500 to its scoring calls
+ * @property crashes consecutive attempts, of the task or of its scoring call, whose connections were lost
  * @property lastActivityMilliseconds time of the last dispatch, response or event, for detecting a stalled engine
  * @property sentMilliseconds time at which the current attempt was sent
  * @property attemptStartEvent number of the last event received before the current attempt
@@ -83,6 +84,7 @@
     val currentVersion: Long = 0,
     val errors: Int = 0,
     val scoringErrors: Int = 0,
+    val crashes: Int = 0,
     val lastActivityMilliseconds: Long = 0,
     val sentMilliseconds: Long = 0,
     val attemptStartEvent: Long = 0,
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ScoreTasks.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ScoreTasks.kt
@@ -37,8 +37,9 @@
             .let { it.copy(effects = listOf(explanation) + it.effects) }
     } else {
         val waiting = task.copy(
-            notBeforeMilliseconds = nowMilliseconds + SCORING_BACKOFF_MILLISECONDS,
+            notBeforeMilliseconds = nowMilliseconds + maxOf(SCORING_BACKOFF_MILLISECONDS, crashWait(request.crashes)),
             scoringErrors = errors,
+            crashes = request.crashes,
         )
         Transition(withTask(job, waiting))
     }
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEffect.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEffect.kt
@@ -38,11 +38,21 @@
         val attempt: Int,
     ) : TrafficEffect
 
-    /** Respond to a client with an error status of this instance. */
+    /**
+     * Respond to a client with an error status of this instance.
+     *
+     * @property retryMilliseconds time after which the client may repeat the request; null for the usual delay
+     */
     public data class Reject(
         val request: Long,
         val status: Int,
         val reason: String,
+        val retryMilliseconds: Long? = null,
+    ) : TrafficEffect
+
+    /** Announce these suspects to the other instances in place of those announced before. */
+    public data class AnnounceSuspects(
+        val suspects: Map<String, CrashSuspect>,
     ) : TrafficEffect
 
     /** Read the body of a job submission whose route and key were accepted. */
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEvent.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEvent.kt
@@ -1,6 +1,7 @@
 package org.mulberrypin.decisions.traffic
 
 import org.mulberrypin.schema.generated.BackendServerEntry
+import org.mulberrypin.schema.generated.CrashRecord
 import org.mulberrypin.schema.generated.JobRecord
 import org.mulberrypin.schema.generated.JobSubmission
 import org.mulberrypin.schema.generated.ServingConfiguration
@@ -42,6 +43,7 @@
      *
      * @property key the client's API key; null if the request has none
      * @property deadlineMilliseconds timeout set by the client, counted from arrival, in milliseconds; null if unset
+     * @property content digest of caller, method, host, path and body, which a repetition shares; empty if unknown
      */
     public data class RequestArrived(
         val request: Long,
@@ -50,6 +52,7 @@
         val path: String,
         val key: String?,
         val deadlineMilliseconds: Long?,
+        val content: String = "",
     ) : RequestEvent
 
     /** The client of a request closed its connection. */
@@ -74,12 +77,18 @@
         val load: Int?,
     ) : RequestEvent
 
-    /** An attempt failed without a response; [sent] is false if the backend server cannot have received the request. */
+    /**
+     * An attempt failed without a response.
+     *
+     * @property sent false if the backend server cannot have received the request
+     * @property connectionLost true if the connection was lost after the request had been sent
+     */
     public data class AttemptFailed(
         val request: Long,
         val attempt: Int,
         val sent: Boolean,
         val detail: String,
+        val connectionLost: Boolean = false,
     ) : RequestEvent
 
     /** A trainer submitted a job, and its route and key were accepted. */
@@ -173,15 +182,21 @@
         override val attempt: Int,
     ) : TaskStreamEvent
 
-    /** The stream of a task failed. */
+    /** The stream of a task failed; [connectionLost] tells whether its connection was lost after it had been sent. */
     public data class TaskAttemptFailed(
         override val job: String,
         override val task: String,
         override val attempt: Int,
         val sent: Boolean,
         val detail: String,
+        val connectionLost: Boolean = false,
     ) : TaskStreamEvent
 
+    /** The crash records that other instances announce were read. */
+    public data class CrashRecordsRead(
+        val records: List<CrashRecord>,
+    ) : TrafficEvent
+
     /** The list of live instances was read from the heartbeats. */
     public data class LiveInstancesRead(
         val live: List<LiveInstance>,
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficState.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficState.kt
@@ -14,6 +14,7 @@
  * @property loading jobs of this instance that are being loaded, with the time at which loading began, in milliseconds
  * @property carriedTasks partial results of ended jobs that a later job may resume, by task identifier
  * @property namedVersions weight version that the engines should load, by model
+ * @property suspects contents of client requests under which backend servers crashed, by digest
  * @property loadingServers engines that are expected to load weights now and refuse tasks meanwhile
  * @property liveInstances instances that are sending heartbeats
  * @property nextInternalRequest number of the next request that this instance originates; counts down from -1 so
@@ -28,6 +29,7 @@
     val jobs: PersistentMap<String, RunningJob> = persistentMapOf(),
     val loading: PersistentMap<String, Long> = persistentMapOf(),
     val carriedTasks: PersistentMap<String, CarriedTask> = persistentMapOf(),
+    val suspects: PersistentMap<String, CrashSuspect> = persistentMapOf(),
     val namedVersions: Map<String, Long> = emptyMap(),
     val loadingServers: Set<String> = emptySet(),
     val liveInstances: List<LiveInstance> = emptyList(),
--- a/runtime/src/main/kotlin/org/mulberrypin/runtime/FaultKind.kt
+++ b/runtime/src/main/kotlin/org/mulberrypin/runtime/FaultKind.kt
@@ -13,4 +13,7 @@
 
     /** The response was lost. The operation may have taken effect. */
     UNKNOWN,
+
+    /** The connection was lost after the operation had been sent. The operation may have taken effect. */
+    CONNECTION_LOST,
 }
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/ControlDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/ControlDuty.kt
@@ -32,6 +32,7 @@
 import org.mulberrypin.runtime.boundedRing
 import org.mulberrypin.runtime.startDuty
 import org.mulberrypin.schema.generated.BackendServerEntry
+import org.mulberrypin.schema.generated.CrashRecord
 import org.mulberrypin.schema.generated.InstanceHeartbeat
 import org.mulberrypin.schema.generated.NamedWeights
 import org.mulberrypin.schema.generated.ServingPool
@@ -40,6 +41,7 @@
  * Dependencies of the control duty.
  *
  * @property onInstances called on the control thread with the live instances whenever their list changes
+ * @property onCrashRecords called on the control thread whenever the crash records of the other instances change
  */
 internal data class ControlPorts(
     val store: RowStore,
@@ -47,6 +49,7 @@
     val clock: ServiceClock,
     val log: DecisionLog,
     val onInstances: (List<LiveInstance>) -> Unit,
+    val onCrashRecords: (List<CrashRecord>) -> Unit,
 )
 
 /**
@@ -78,6 +81,8 @@
     private var pools = emptyList<ServingPool>()
     private var engines = emptyList<BackendServerEntry>()
     private var namedWeights = emptyList<NamedWeights>()
+    private var announcedCrashes = emptyList<CrashRecord>()
+    private var knownCrashes = emptyList<CrashRecord>()
     private var heartbeatCount = 0L
     private var isLeaving = false
     private var nextHeartbeatMilliseconds = 0L
@@ -113,6 +118,7 @@
             is ControlSignal.Usage -> usageManager.handle(signal.event)
             is ControlSignal.InstancesRead -> handleInstancesRead(signal.outcome)
             is ControlSignal.ListsChanged -> handleListsChanged(signal)
+            is ControlSignal.CrashesAnnounced -> announcedCrashes = signal.records
             ControlSignal.DrainStarted -> startDrain()
         }
     }
@@ -147,6 +153,7 @@
             sequence = heartbeatCount,
             leaving = isLeaving,
             capacity = identity.capacity,
+            crashRecords = announcedCrashes,
         )
         val value = recordJson.encodeToString(InstanceHeartbeat.serializer(), heartbeat)
         val row = RowWrite(StoreTables.INSTANCES, "", identity.name, value)
@@ -170,6 +177,7 @@
             heartbeatTracker.withReading(
                 outcome.value.mapNotNull { ports.log.decodeRecord(it, InstanceHeartbeat.serializer()) },
             )
+        forwardCrashRecords()
         val current = heartbeatTracker.liveInstances().map { LiveInstance(it.name, it.incarnation, it.capacity) }
         if (current.toSet() == previous.toSet()) return
         (current - previous.toSet()).forEach { ports.log.write(SOURCE, it.name, "instance alive", "store", "$it") }
@@ -177,6 +185,15 @@
         ports.onInstances(current)
     }
 
+    private fun forwardCrashRecords() {
+        val records = heartbeatTracker.observed.values
+            .filter { it.heartbeat.name != identity.name }
+            .flatMap { it.heartbeat.crashRecords }
+        if (records == knownCrashes) return
+        knownCrashes = records
+        ports.onCrashRecords(records)
+    }
+
     private fun handleListsChanged(signal: ControlSignal.ListsChanged) {
         pools = signal.pools ?: pools
         engines = signal.backends ?: engines
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/ControlSignal.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/ControlSignal.kt
@@ -6,6 +6,7 @@
 import org.mulberrypin.platform.deployment.StoredRow
 import org.mulberrypin.runtime.Outcome
 import org.mulberrypin.schema.generated.BackendServerEntry
+import org.mulberrypin.schema.generated.CrashRecord
 import org.mulberrypin.schema.generated.NamedWeights
 import org.mulberrypin.schema.generated.ServingPool
 
@@ -31,6 +32,11 @@
         val outcome: Outcome<List<StoredRow>>,
     ) : ControlSignal
 
+    /** The crash records that this instance announces changed. */
+    data class CrashesAnnounced(
+        val records: List<CrashRecord>,
+    ) : ControlSignal
+
     /** One of the platform's lists changed; a null list is unchanged. */
     data class ListsChanged(
         val pools: List<ServingPool>? = null,
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
@@ -15,6 +15,7 @@
 import org.mulberrypin.platform.deployment.httpRowStore
 import org.mulberrypin.runtime.Outcome
 import org.mulberrypin.runtime.ServiceClock
+import org.mulberrypin.schema.generated.CrashRecord
 import java.net.InetSocketAddress
 import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
@@ -52,8 +53,12 @@
     val onInstances = { instances: List<org.mulberrypin.decisions.traffic.LiveInstance> ->
         traffic.enqueue(TrafficEvent.LiveInstancesRead(instances))
     }
-    val control = ControlDuty(identity, settings, ControlPorts(store, backends, clock, log, onInstances))
-    val trafficPorts = TrafficPorts(store, backends, control::countUsage, clock, log, trafficCounters(registry))
+    val onCrashRecords = { records: List<CrashRecord> -> traffic.enqueue(TrafficEvent.CrashRecordsRead(records)) }
+    val controlPorts = ControlPorts(store, backends, clock, log, onInstances, onCrashRecords)
+    val control = ControlDuty(identity, settings, controlPorts)
+    val announceCrashes = { records: List<CrashRecord> -> control.offer(ControlSignal.CrashesAnnounced(records)) }
+    val trafficPorts =
+        TrafficPorts(store, backends, control::countUsage, clock, log, trafficCounters(registry), announceCrashes)
     traffic = TrafficDuty(identity, trafficPorts)
     lateinit var follow: FollowDuty
     val readiness = InstanceReadiness { maxOf(traffic.millisecondsSinceTick(), follow.millisecondsSinceTick()) }
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/TaskListener.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/TaskListener.kt
@@ -23,6 +23,7 @@
         onEnd = { onEvent(TrafficEvent.TaskEnded(job, task, attempt)) },
         onFailure = { fault ->
             val sent = fault.kind != FaultKind.NOT_RUN
-            onEvent(TrafficEvent.TaskAttemptFailed(job, task, attempt, sent, fault.toString()))
+            val isLost = fault.kind == FaultKind.CONNECTION_LOST
+            onEvent(TrafficEvent.TaskAttemptFailed(job, task, attempt, sent, fault.toString(), isLost))
         },
     )
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
@@ -8,15 +8,12 @@
 import org.mulberrypin.decisions.traffic.TrafficState
 import org.mulberrypin.decisions.traffic.decideTraffic
 import org.mulberrypin.platform.deployment.BackendCalls
-import org.mulberrypin.platform.deployment.BackendRequest
 import org.mulberrypin.platform.deployment.BackendResponse
 import org.mulberrypin.platform.deployment.CallReply
 import org.mulberrypin.platform.deployment.CallTarget
 import org.mulberrypin.platform.deployment.IncomingCall
 import org.mulberrypin.platform.deployment.RowStore
-import org.mulberrypin.platform.deployment.decodeBody
 import org.mulberrypin.platform.deployment.decodeSubmission
-import org.mulberrypin.platform.deployment.lengthHintOf
 import org.mulberrypin.runtime.BoundedRing
 import org.mulberrypin.runtime.Duty
 import org.mulberrypin.runtime.FaultKind
@@ -24,14 +21,17 @@
 import org.mulberrypin.runtime.ServiceClock
 import org.mulberrypin.runtime.boundedRing
 import org.mulberrypin.runtime.startDuty
+import org.mulberrypin.schema.generated.CrashRecord
 import org.mulberrypin.schema.generated.JobRecord
-import org.mulberrypin.schema.generated.JobSubmission
-import org.mulberrypin.schema.generated.ScoringCall
 import java.time.Duration
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
 
-/** Dependencies of the traffic duty. */
+/**
+ * Dependencies of the traffic duty.
+ *
+ * @property announceCrashes replaces the crash records that the other instances read
+ */
 internal data class TrafficPorts(
     val store: RowStore,
     val backends: BackendCalls,
@@ -39,6 +39,7 @@
     val clock: ServiceClock,
     val log: DecisionLog,
     val counters: TrafficCounters,
+    val announceCrashes: (List<CrashRecord>) -> Unit,
 )
 
 /** Forwards callers' requests and runs batch jobs. Only [submit] and [enqueue] may be called from other threads. */
@@ -146,6 +147,7 @@
                 call.path,
                 call.key,
                 call.deadlineMilliseconds,
+                contentDigest(call),
             )
             decide(event)
         } else {
@@ -208,6 +210,10 @@
                 ports.countUsage(effect.team)
             }
 
+            is TrafficEffect.AnnounceSuspects -> {
+                ports.announceCrashes(crashRecords(effect, ports.clock))
+            }
+
             is TrafficEffect.RecordDecision -> {
                 ports.log.write(SOURCE, effect.subject, effect.decision, effect.peer, effect.inputs)
             }
@@ -234,7 +240,8 @@
     }
 
     private fun reject(effect: TrafficEffect.Reject) {
-        val retryMilliseconds = RETRY_AFTER_MILLISECONDS.takeIf { effect.status == HttpStatusCode.UNAVAILABLE }
+        val delay = effect.retryMilliseconds ?: RETRY_AFTER_MILLISECONDS
+        val retryMilliseconds = delay.takeIf { effect.status == HttpStatusCode.UNAVAILABLE }
         reply(effect.request, CallReply.Local(effect.status, effect.reason, retryMilliseconds))
     }
 
@@ -276,12 +283,12 @@
                     }
 
                     is Outcome.Failure -> {
-                        val sent = outcome.fault.kind != FaultKind.NOT_RUN
                         val failed = TrafficEvent.AttemptFailed(
                             effect.request,
                             effect.attempt,
-                            sent,
-                            outcome.fault.toString(),
+                            sent = outcome.fault.kind != FaultKind.NOT_RUN,
+                            detail = outcome.fault.toString(),
+                            connectionLost = outcome.fault.kind == FaultKind.CONNECTION_LOST,
                         )
                         TrafficSignal.Told(failed)
                     }
@@ -324,19 +331,7 @@
     }
 
     private fun runTask(effect: TrafficEffect.RunTask) {
-        val request = BackendRequest(
-            address = effect.address,
-            serverId = effect.server,
-            id = effect.task.id,
-            method = "POST",
-            host = effect.host,
-            path = effect.task.path,
-            headers = effect.task.headers,
-            body = decodeBody(effect.task.body),
-            team = effect.team.ifEmpty { null },
-            remainingMilliseconds = 0,
-            lastEvent = effect.lastEvent,
-        )
+        val request = taskRequest(effect)
         ports.counters.attempts.increment()
         val listener = taskListener(effect.job, effect.task.id, effect.attempt, ::enqueue)
         taskCancellers[effect.job to effect.task.id] = ports.backends.stream(request, listener)
@@ -356,41 +351,3 @@
         private const val RETRY_AFTER_MILLISECONDS = 100L
     }
 }
-
-/** Returns the expected number of output tokens of each task, by task identifier. */
-internal fun lengthHints(submission: JobSubmission): Map<String, Long> =
-    submission.tasks.associate { it.id to lengthHintOf(it) }
-
-private fun forwardedRequest(
-    effect: TrafficEffect.Send,
-    call: IncomingCall,
-): BackendRequest =
-    BackendRequest(
-        address = effect.address,
-        serverId = effect.server,
-        id = call.id,
-        method = call.method,
-        host = call.host,
-        path = call.path,
-        headers = call.headers,
-        body = call.body,
-        team = effect.team,
-        remainingMilliseconds = effect.remainingMilliseconds,
-    )
-
-private fun scoringRequest(
-    effect: TrafficEffect.Send,
-    scoring: ScoringCall,
-): BackendRequest =
-    BackendRequest(
-        address = effect.address,
-        serverId = effect.server,
-        id = scoring.id,
-        method = "POST",
-        host = scoring.host,
-        path = scoring.path,
-        headers = emptyList(),
-        body = decodeBody(scoring.body),
-        team = null,
-        remainingMilliseconds = effect.remainingMilliseconds,
-    )
--- a/service/src/main/kotlin/org/mulberrypin/service/leases/LeaseStore.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/leases/LeaseStore.kt
@@ -82,7 +82,7 @@
         fault: Fault,
     ): LeaseEvent =
         when (fault.kind) {
-            FaultKind.UNKNOWN, FaultKind.CONFLICT -> LeaseEvent.WriteUnknown(step.attempt)
+            FaultKind.UNKNOWN, FaultKind.CONNECTION_LOST, FaultKind.CONFLICT -> LeaseEvent.WriteUnknown(step.attempt)
             FaultKind.REFUSED, FaultKind.NOT_RUN -> LeaseEvent.WriteNotRun(step.attempt)
         }
 
--- a/service/src/main/kotlin/org/mulberrypin/service/peers/PeerService.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/peers/PeerService.kt
@@ -61,5 +61,5 @@
         FaultKind.REFUSED -> Status.FAILED_PRECONDITION
         FaultKind.CONFLICT -> Status.ABORTED
         FaultKind.NOT_RUN -> Status.RESOURCE_EXHAUSTED
-        FaultKind.UNKNOWN -> Status.UNKNOWN
+        FaultKind.UNKNOWN, FaultKind.CONNECTION_LOST -> Status.UNKNOWN
     }.withDescription(fault.toString())
--- a/service/src/test/kotlin/org/mulberrypin/service/deployment/JobCallsTest.kt
+++ b/service/src/test/kotlin/org/mulberrypin/service/deployment/JobCallsTest.kt
@@ -42,7 +42,15 @@
         val replies = ArrayList<CallReply>()
         val store = FakeRowStore(emptyList()).store
         val ports =
-            TrafficPorts(store, unusedBackendCalls, {}, testClock.clock, log, trafficCounters(SimpleMeterRegistry()))
+            TrafficPorts(
+                store,
+                unusedBackendCalls,
+                {},
+                testClock.clock,
+                log,
+                trafficCounters(SimpleMeterRegistry()),
+                {},
+            )
         val state = TrafficState(InstanceIdentity("entry-1", 1, "zone-a"))
         val calls = JobCalls(JobStore(store, log), ports, { state }, {}, { _, reply -> replies.add(reply) })
         val failure = Outcome.Failure(Fault("end the job", "store", kind, "test"))
