--- a/runtime/src/main/kotlin/org/mulberrypin/runtime/FaultKind.kt
+++ b/runtime/src/main/kotlin/org/mulberrypin/runtime/FaultKind.kt
@@ -14,6 +14,6 @@
     /** The response was lost. The operation may have taken effect. */
     UNKNOWN,
 
-    /** The connection was lost after the operation had been sent. The operation may have taken effect. */
+    /** The peer closed or reset the connection after the operation had been sent. It may have taken effect. */
     CONNECTION_LOST,
 }
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
@@ -6,16 +6,17 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import org.mulberrypin.decisions.traffic.InstanceIdentity
 import org.mulberrypin.decisions.traffic.TrafficEvent
+import org.mulberrypin.platform.deployment.BackendCalls
 import org.mulberrypin.platform.deployment.DeploymentSettings
 import org.mulberrypin.platform.deployment.FrontAddresses
 import org.mulberrypin.platform.deployment.FrontEndPorts
+import org.mulberrypin.platform.deployment.RowStore
 import org.mulberrypin.platform.deployment.frontServer
 import org.mulberrypin.platform.deployment.httpBackendCalls
 import org.mulberrypin.platform.deployment.httpClients
 import org.mulberrypin.platform.deployment.httpRowStore
 import org.mulberrypin.runtime.Outcome
 import org.mulberrypin.runtime.ServiceClock
-import org.mulberrypin.schema.generated.CrashRecord
 import java.net.InetSocketAddress
 import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
@@ -53,13 +54,11 @@
     val onInstances = { instances: List<org.mulberrypin.decisions.traffic.LiveInstance> ->
         traffic.enqueue(TrafficEvent.LiveInstancesRead(instances))
     }
-    val onCrashRecords = { records: List<CrashRecord> -> traffic.enqueue(TrafficEvent.CrashRecordsRead(records)) }
-    val controlPorts = ControlPorts(store, backends, clock, log, onInstances, onCrashRecords)
+    val controlPorts = ControlPorts(store, backends, clock, log, onInstances) {
+        traffic.enqueue(TrafficEvent.CrashRecordsRead(it))
+    }
     val control = ControlDuty(identity, settings, controlPorts)
-    val announceCrashes = { records: List<CrashRecord> -> control.offer(ControlSignal.CrashesAnnounced(records)) }
-    val trafficPorts =
-        TrafficPorts(store, backends, control::countUsage, clock, log, trafficCounters(registry), announceCrashes)
-    traffic = TrafficDuty(identity, trafficPorts)
+    traffic = TrafficDuty(identity, trafficPorts(store, backends, control, clock, log, registry))
     lateinit var follow: FollowDuty
     val readiness = InstanceReadiness { maxOf(traffic.millisecondsSinceTick(), follow.millisecondsSinceTick()) }
     follow = FollowDuty(store, followOutlets(traffic, control, readiness), clock, log)
@@ -89,6 +88,18 @@
     }
 }
 
+private fun trafficPorts(
+    store: RowStore,
+    backends: BackendCalls,
+    control: ControlDuty,
+    clock: ServiceClock,
+    log: DecisionLog,
+    registry: PrometheusMeterRegistry,
+): TrafficPorts =
+    TrafficPorts(store, backends, control::countUsage, clock, log, trafficCounters(registry)) {
+        control.offer(ControlSignal.CrashesAnnounced(it))
+    }
+
 private fun identityOf(
     settings: DeploymentSettings,
     clock: ServiceClock,
