Take only a signed success of a scoring call as a score

Cause: statuses of the 300s and 400s are answers to pass on for a client's request, and scoring calls went the same way to the score, which is the signature whatever the status.

A scoring call that gets anything but a signed success is now a failed attempt. A blank signature counts as none. Only answers of 500 give a task up, as before.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardRequests.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardRequests.kt
@@ -192,8 +192,7 @@
             avoided.retryOrFail(unassigned, "status ${event.status}, not run", nowMilliseconds)
         }
 
-        event.status >= HttpStatusCode.INTERNAL_ERROR ||
-            (event.status < HttpStatusCode.REDIRECTION && !event.signed) -> {
+        isFailure(request, event) -> {
             val errors = unassigned.errors + if (event.status == HttpStatusCode.INTERNAL_ERROR) 1 else 0
             val executed = unassigned.copy(mayHaveRun = true, errors = errors)
             val recorded = copy(backends = reported).counted(executed)
@@ -208,6 +207,16 @@
     }
 }
 
+/** Whether a response is an error of the server; of a scoring call, only a signed success is a score. */
+private fun isFailure(
+    request: ForwardedRequest,
+    event: TrafficEvent.ResponseReceived,
+): Boolean {
+    val isSuccess = event.status < HttpStatusCode.REDIRECTION
+    val isError = event.status >= HttpStatusCode.INTERNAL_ERROR || request.origin is Origin.Scoring
+    return if (isSuccess) !event.signed else isError
+}
+
 private fun Backend.withReportedLoad(
     load: Int?,
     nowMilliseconds: Long,
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
@@ -164,7 +164,7 @@
                 attempt = signal.attempt,
                 status = response.status,
                 notRun = response.notRun,
-                signed = response.signature != null,
+                signed = !response.signature.isNullOrBlank(),
                 signature = response.signature.orEmpty(),
                 load = response.load?.let { it.running + it.waiting },
             ),
