Answer requests that are still open at the end of a planned stop

A request that was passed on in the first seconds of a stop, and whose server did not finish before the grace period ended, was cut without an answer, also on routes that may not be repeated (report of another operator).

Cause: after the drain the server was closed with whatever was still open. The stand-in of servers can be silent, and the stand-in configuration has a route that may not be repeated.

--- a/command/src/test/kotlin/org/mulberrypin/command/deployment/PlannedStopTest.kt
+++ b/command/src/test/kotlin/org/mulberrypin/command/deployment/PlannedStopTest.kt
@@ -5,6 +5,7 @@
 import org.mulberrypin.standins.deployment.rawRequest
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import java.io.BufferedReader
 import java.io.IOException
@@ -49,10 +50,25 @@
         }
     }
 
+    @Test
+    fun `answers a request that its server does not finish before the end of the grace period`() {
+        DeploymentEnvironment().use { environment ->
+            val instance = environment.start("entry-1")
+            environment.plainService.isSilent.set(true)
+            val stop = Thread { instance.drainAndStop() }.apply { start() }
+            Thread.sleep(LATE_IN_GRACE_MILLISECONDS)
+            Socket("127.0.0.1", instance.callerPort).use { callOnConnection(it, "/payments/1") }
+            stop.join()
+            expectThat(environment.plainService.executedRequests.map { it.id }).isEqualTo(listOf("id-1"))
+            expectThat(unanswered.map { it.id }).isEmpty()
+            expectThat(answered.toSet()).isEqualTo(setOf("id-1"))
+        }
+    }
+
     private fun callUntilStopped(port: Int) {
         while (!isStopped.get()) {
             try {
-                Socket("127.0.0.1", port).use(::callOnConnection)
+                Socket("127.0.0.1", port).use { callOnConnection(it) }
             } catch (_: IOException) {
                 return // The port is closed.
             }
@@ -60,14 +76,17 @@
     }
 
     /** Sends one request after the other until the instance closes the connection. */
-    private fun callOnConnection(socket: Socket) {
+    private fun callOnConnection(
+        socket: Socket,
+        path: String = "/orders/1",
+    ) {
         socket.soTimeout = TIMEOUT_MILLISECONDS
         val reader = socket.getInputStream().bufferedReader()
         while (true) {
             val id = "id-${counter.incrementAndGet()}"
             val sent = clock.readMilliseconds()
             try {
-                socket.getOutputStream().write(rawRequest("/orders/1", id).toByteArray())
+                socket.getOutputStream().write(rawRequest(path, id).toByteArray())
                 val isLast = readResponse(reader) ?: throw IOException("closed")
                 answered.add(id)
                 if (isLast) return
@@ -89,6 +108,9 @@
     private companion object {
         private const val CALLERS = 16
         private const val LOAD_MILLISECONDS = 500L
+
+        /** Time after the begin of a stop at which requests are still passed on, in milliseconds. */
+        private const val LATE_IN_GRACE_MILLISECONDS = 1_500L
         private const val TIMEOUT_MILLISECONDS = 5_000
 
         /** Time after its last byte within which a request may cross the close of its connection, in milliseconds. */
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DecideTraffic.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DecideTraffic.kt
@@ -28,6 +28,7 @@
         is TrafficEvent.TaskStreamEvent -> state.decideTask(event, nowMilliseconds)
         TrafficEvent.DrainStarted -> Transition(state.copy(draining = true))
         TrafficEvent.ReleaseJobs -> state.releaseJobs()
+        TrafficEvent.GraceEnding -> state.failOpenRequests(nowMilliseconds)
         TrafficEvent.Tick -> state.tick(nowMilliseconds, wallMilliseconds)
     }
 
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RetryRequests.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RetryRequests.kt
@@ -158,5 +158,14 @@
     }
 }
 
+/** Responds to all clients whose requests are still open, so that none is cut off without a response. */
+internal fun TrafficState.failOpenRequests(nowMilliseconds: Long): Transition<TrafficState, TrafficEffect> =
+    decideEach(requests.values.filter { it.origin == Origin.Caller }) { state, request ->
+        val released = request.server?.let { state.backends.updated(it, Backend::released) } ?: state.backends
+        val ended = request.copy(server = null, mayHaveRun = request.mayHaveRun || request.server != null)
+        val failed = state.copy(backends = released).failRequest(ended, "the instance stops", nowMilliseconds)
+        failed.copy(effects = listOf(TrafficEffect.Cancel(request.request)) + failed.effects)
+    }
+
 /** Latency objective divided by the longest wait; a client that is refused still has time to use another instance. */
 private const val OBJECTIVE_WAIT_DIVISOR = 5
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEvent.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEvent.kt
@@ -205,6 +205,9 @@
     /** The instance started shutting down and accepts no new jobs. */
     public data object DrainStarted : TrafficEvent
 
+    /** The grace period of a shutdown is about to end; requests that are still open get their final response. */
+    public data object GraceEnding : TrafficEvent
+
     /** Request to release all jobs of this instance to other instances. */
     public data object ReleaseJobs : TrafficEvent
 
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentShutdown.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentShutdown.kt
@@ -8,6 +8,7 @@
  * asks callers to close their connections with each response, then releases its jobs to other instances. From then on
  * it refuses calls that still arrive on kept connections, so that what it has passed on can end within the grace
  * period. The drain ends once no call is open, as counted from its head to the end of its response, and no task runs.
+ * Calls that are still open shortly before the end of the grace period get a response that says what may have run.
  */
 internal class DeploymentShutdown(
     private val graceMilliseconds: Long,
@@ -33,6 +34,8 @@
         waitUntil(endMilliseconds) {
             readiness.openCalls.get() == 0 && traffic.inFlightCount == 0
         }
+        traffic.enqueue(TrafficEvent.GraceEnding)
+        waitUntil(endMilliseconds + LAST_RESPONSES_MILLISECONDS) { readiness.openCalls.get() == 0 }
     }
 
     private fun waitUntil(
@@ -54,6 +57,9 @@
 
         /** Part of the grace period reserved for process exit, in milliseconds. */
         private const val EXIT_RESERVE_MILLISECONDS = 1_000L
+
+        /** Time for writing the responses to calls that were still open, in milliseconds; within the reserve. */
+        private const val LAST_RESPONSES_MILLISECONDS = 400L
         private const val POLL_INTERVAL_MILLISECONDS = 20L
     }
 }
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/deployment/CallerStandIn.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/deployment/CallerStandIn.kt
@@ -104,11 +104,12 @@
     ordersPrefix: String = "/orders/",
 ): String {
     val orders = routeJson("orders", ordersPrefix, "idempotent", "plain", isPublic = false)
+    val payments = routeJson("payments", "/payments/", "non_idempotent", "plain", isPublic = false)
     val scores = routeJson("scores", "/scores/", "idempotent", "plain", isPublic = true)
     val sort = routeJson("sort", "/sort/", "rollout", "engines", isPublic = false)
     val services = """{"name":"plain"},{"name":"engines","engine":{"slots":8,"models":[{"name":"sorter"}]}}"""
     val tenants = """{"name":"team-1","apiKeys":["$CALLER_KEY"]}"""
-    return """{"version":$version,"routes":[$orders,$scores,$sort],"services":[$services],"tenants":[$tenants]}"""
+    return """{"version":$version,"routes":[$orders,$payments,$scores,$sort],"services":[$services],"tenants":[$tenants]}"""
 }
 
 private fun routeJson(
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/deployment/ServerStandIn.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/deployment/ServerStandIn.kt
@@ -22,6 +22,7 @@
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
 
@@ -41,6 +42,7 @@
  * @property executedRequests the executed requests, in order
  * @property version current weight version
  * @property breakNext number of subsequent streams that are aborted after their first event
+ * @property isSilent while true, requests are executed and not responded to
  * @property stop removes the server from the store and closes its port
  */
 public data class ServerStandIn(
@@ -49,6 +51,7 @@
     val executedRequests: ConcurrentLinkedQueue<ExecutedRequest>,
     val version: AtomicLong,
     val breakNext: AtomicInteger,
+    val isSilent: AtomicBoolean,
     val stop: () -> Unit,
 )
 
@@ -91,7 +94,7 @@
     val entryAddress = advertisedAddress(address)
     handler.registerVersion = { store.write("servers", id, serverEntry(entryAddress, pool, model, it)) }
     handler.registerVersion(handler.version.get())
-    return ServerStandIn(id, address, handler.executions, handler.version, handler.breakNext) {
+    return ServerStandIn(id, address, handler.executions, handler.version, handler.breakNext, handler.isSilent) {
         store.remove("servers", id)
         server.stop().join()
     }
@@ -129,6 +132,7 @@
     val executions = ConcurrentLinkedQueue<ExecutedRequest>()
     val version = AtomicLong(1)
     val breakNext = AtomicInteger()
+    val isSilent = AtomicBoolean()
     private val orderCount = AtomicLong()
     private val executedRequests = AtomicInteger()
     var registerVersion: (Long) -> Unit = {}
@@ -179,6 +183,7 @@
         val hasKey = headers.contains("authorization")
         val run = executedRequests.getAndIncrement()
         executions.add(ExecutedRequest(requestId, path, headers.get("mulberrypin-tenant"), hasKey, lastEvent, run))
+        if (isSilent.get()) return HttpResponse.streaming()
         val head = ResponseHeaders
             .builder(HttpStatus.OK)
             .set("mulberrypin-request-id", requestId)
