--- a/decisions/src/test/kotlin/org/mulberrypin/decisions/traffic/CrashModel.kt
+++ b/decisions/src/test/kotlin/org/mulberrypin/decisions/traffic/CrashModel.kt
@@ -10,12 +10,14 @@
  * loses all connections, refuses new ones and is back after [DOWN_MILLISECONDS] as a new lifetime. Servers crash under
  * the contents and tasks of [poison], and in the bursts of [crashes].
  *
+ * @property unlucky number of first runs during which the server crashes, by sound task
  * @property crashes times at which a share of the servers crashes, in milliseconds
  */
 internal class CrashModel(
     private val random: Random,
     private val poison: Set<String>,
     private val crashes: Map<Long, Double> = emptyMap(),
+    private val unlucky: Map<String, Int> = emptyMap(),
 ) {
     private val names = (1..INSTANCES).map { "entry-$it" }
     private val instances = names.map { TrafficFixture(TrafficState(InstanceIdentity(it, 1, "zone-a"))) }
@@ -104,7 +106,8 @@
         stream.nextMilliseconds = nowMilliseconds + WORK_MILLISECONDS
         sends += ModelSend(stream.subject, nowMilliseconds, stream.server)
         stream.request?.let { replies.getOrPut(it.request) { ModelReply() }.hasRun = true }
-        if (stream.subject in poison) crash(servers.getValue(stream.server))
+        val isUnlucky = sends.count { it.subject == stream.subject } <= (unlucky[stream.subject] ?: 0)
+        if (stream.subject in poison || isUnlucky) crash(servers.getValue(stream.server))
     }
 
     private fun deliver(stream: ModelStream) {
--- a/decisions/src/test/kotlin/org/mulberrypin/decisions/traffic/CrashingWorkTest.kt
+++ b/decisions/src/test/kotlin/org/mulberrypin/decisions/traffic/CrashingWorkTest.kt
@@ -1,6 +1,8 @@
 package org.mulberrypin.decisions.traffic
 
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
 import strikt.assertions.hasSize
 import strikt.assertions.isEqualTo
@@ -87,6 +89,20 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = [1, 2, 3, 4])
+    fun `a sound task under which servers crashed is placed again within five seconds and completed`(crashes: Int) {
+        for (seed in SEEDS) {
+            val model = CrashModel(Random(seed), emptySet(), unlucky = mapOf("task-5" to crashes))
+            model.startJob(40)
+            model.runUntil(16_000)
+            expectThat(model.completedTasks.size).isEqualTo(40)
+            val times = model.sends.filter { it.subject == "task-5" }.map { it.milliseconds }
+            expectThat(times).hasSize(crashes + 1)
+            expectThat(times[crashes] - times[crashes - 1]).isLessThanOrEqualTo(MAX_WAIT_MILLISECONDS)
+        }
+    }
+
     @Test
     fun `sound tasks beside a crashing one are completed in bursts of crashes, and it is not sent on and on`() {
         for (seed in SEEDS) {
@@ -165,6 +181,9 @@
     private companion object {
         private val SEEDS = 1..50
         private const val ALLOWED_LATER = 3
+
+        /** Longest time at no engine after which a step may lose a task for it. */
+        private const val MAX_WAIT_MILLISECONDS = 5_000L
         private const val CONTACT_MILLISECONDS = 3_000L
         private const val LAST_CRASH_MILLISECONDS = 15_600L
 
