Read the retry decision as one choice; correct two comments

No change of behaviour: retryOrFail chooses between failing, sending and waiting in one place. Two comments in CrashedTasks claimed what no figure shows.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/CrashedTasks.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/CrashedTasks.kt
@@ -44,14 +44,14 @@
 /** Consecutive crashes from which a task runs alone. */
 private const val CRASHES_UNTIL_ALONE = 2
 
-/** Wait after the second crash, in milliseconds; longer than most bursts of crashes last at one engine. */
+/** Wait after the second crash, in milliseconds; it only keeps a task from every server that crashes in a moment. */
 private const val SHORT_WAIT_MILLISECONDS = 200L
 
-/** Wait after the third crash, in milliseconds; doubles with each further one. */
+/** Wait after the third crash, in milliseconds, which is about a server's restart; doubles with each further one. */
 private const val FIRST_LONG_WAIT_MILLISECONDS = 2_000L
 private const val MAX_WAIT_DOUBLINGS = 3
 
-/** Wait after further crashes, in milliseconds; half of the shortest time for which a task is kept. */
+/** Wait after further crashes, in milliseconds; a task is tried at least twice a minute. */
 private const val MAX_WAIT_MILLISECONDS = 30_000L
 
 /** Longest wait for an engine without other tasks, in milliseconds. */
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RetryRequests.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RetryRequests.kt
@@ -27,16 +27,14 @@
             TrafficEffect.RecordDecision(request.id, "attempt failed", request.tried.lastOrNull().orEmpty(), detail),
         ),
     )
-    if (!canRetry(
-            request,
-            nowMilliseconds,
-        )
-    ) {
-        return recorded.andThen { it.failRequest(request, detail, nowMilliseconds) }
-    }
+    val mayRetry = canRetry(request, nowMilliseconds)
     return recorded.andThen { state ->
-        val sent = state.sendRequest(request, nowMilliseconds)
-        if (sent.effects.isNotEmpty()) sent else state.waitOrFail(request, detail, nowMilliseconds)
+        val sent = if (mayRetry) state.sendRequest(request, nowMilliseconds) else Transition(state)
+        when {
+            !mayRetry -> state.failRequest(request, detail, nowMilliseconds)
+            sent.effects.isNotEmpty() -> sent
+            else -> state.waitOrFail(request, detail, nowMilliseconds)
+        }
     }
 }
 
