--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/deployment/CallerStandIn.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/deployment/CallerStandIn.kt
@@ -109,7 +109,8 @@
     val sort = routeJson("sort", "/sort/", "rollout", "engines", isPublic = false)
     val services = """{"name":"plain"},{"name":"engines","engine":{"slots":8,"models":[{"name":"sorter"}]}}"""
     val tenants = """{"name":"team-1","apiKeys":["$CALLER_KEY"]}"""
-    return """{"version":$version,"routes":[$orders,$payments,$scores,$sort],"services":[$services],"tenants":[$tenants]}"""
+    val routes = "$orders,$payments,$scores,$sort"
+    return """{"version":$version,"routes":[$routes],"services":[$services],"tenants":[$tenants]}"""
 }
 
 private fun routeJson(
