Log server, signature and connection of each answered request

The log of an answered request named neither the server nor anything of the response, and a response that was refused for its identifier did not say what it named. Four hypotheses of the incident could not be told apart by it.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardRequests.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardRequests.kt
@@ -261,7 +261,7 @@
                     request.id,
                     "answered ${event.status}",
                     identity.name,
-                    "attempts=${request.attempt} milliseconds=${nowMilliseconds - request.arrivedMilliseconds}",
+                    answeredInputs(request, event, nowMilliseconds),
                 ),
                 TrafficEffect.ForwardResponse(request.request, event.attempt),
             ),
@@ -271,6 +271,14 @@
     }
 }
 
+private fun answeredInputs(
+    request: ForwardedRequest,
+    event: TrafficEvent.ResponseReceived,
+    nowMilliseconds: Long,
+): String =
+    "attempts=${request.attempt} milliseconds=${nowMilliseconds - request.arrivedMilliseconds} " +
+        "server=${request.tried.lastOrNull()} signature=${event.signature} connection=${event.connection}"
+
 internal fun TrafficState.handleFailedAttempt(
     event: TrafficEvent.AttemptFailed,
     nowMilliseconds: Long,
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEvent.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEvent.kt
@@ -66,6 +66,7 @@
      * @property notRun true if the backend server states that it did not run the request
      * @property signed true if the response carries the signature of the backend server
      * @property load running and queued requests reported by the backend server; null if not reported
+     * @property connection the connection that the response came over, for the log
      */
     public data class ResponseReceived(
         val request: Long,
@@ -75,6 +76,7 @@
         val signed: Boolean,
         val signature: String,
         val load: Int?,
+        val connection: String = "",
     ) : RequestEvent
 
     /**
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
@@ -167,6 +167,7 @@
                 signed = !response.signature.isNullOrBlank(),
                 signature = response.signature.orEmpty(),
                 load = response.load?.let { it.running + it.waiting },
+                connection = response.connection,
             ),
         )
         responses.remove(signal.request)
