Receive the answer to a task's next attempt after one was lost

An engine that answers twice sends the second copy of another answer over a kept connection, before its own 500 or 422 to the task. The copy names another request, so the attempt fails without an answer, and the failure is not counted; nothing else bounds the attempts of a task but the end of its job.

Why it works: a new connection has carried no other request, so no copy can arrive there before the answer. After an attempt that was sent and got no answer, a task asks for one until an engine starts its stream: at most every second answer is lost, which keeps twice the attempts of the route for 500 and two for 422.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/EndTaskAttempts.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/EndTaskAttempts.kt
@@ -9,7 +9,8 @@
     nowMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> =
     decideCurrentAttempt(event) { job, task ->
-        val failed = if (event.connectionLost) task.withLostConnection(nowMilliseconds) else task
+        val unanswered = task.copy(isUnanswered = task.isUnanswered || event.sent)
+        val failed = if (event.connectionLost) unanswered.withLostConnection(nowMilliseconds) else unanswered
         failTaskAttempt(job, failed, event.detail, nowMilliseconds)
     }
 
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
@@ -111,6 +111,7 @@
                 host = job.record.host,
                 team = job.record.team,
                 lastEvent = task.lastEvent,
+                needsNewConnection = task.isUnanswered,
             ),
         ),
     )
@@ -210,7 +211,8 @@
     nowMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> {
     val version = event.version ?: task.currentVersion
-    val started = task.copy(currentVersion = version, lastActivityMilliseconds = nowMilliseconds)
+    val started =
+        task.copy(currentVersion = version, lastActivityMilliseconds = nowMilliseconds, isUnanswered = false)
     return if (version < job.submission.minimumVersion) {
         failTaskAttempt(job, started, "weights=$version below the minimum version", nowMilliseconds, cancel = true)
     } else {
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunningJob.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunningJob.kt
@@ -68,6 +68,7 @@
  * @property sentMilliseconds time at which the current attempt was sent
  * @property attemptStartEvent number of the last event received before the current attempt
  * @property restarts number of times the output was discarded and generation started over
+ * @property isUnanswered true if an attempt was sent and its answer was lost, until an engine starts a stream
  * @property isTextComplete true once an engine has ended the stream without an error
  */
 public data class TaskProgress(
@@ -89,6 +90,7 @@
     val sentMilliseconds: Long = 0,
     val attemptStartEvent: Long = 0,
     val restarts: Int = 0,
+    val isUnanswered: Boolean = false,
     val isTextComplete: Boolean = false,
 )
 
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEffect.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEffect.kt
@@ -103,7 +103,10 @@
         val batch: ResultBatch,
     ) : JobEffect
 
-    /** Run a task on an engine, starting with the event after [lastEvent]. */
+    /**
+     * Run a task on an engine, starting with the event after [lastEvent]. [needsNewConnection] is true if the answer to
+     * an earlier attempt was lost, so that this one has to be received whatever the engine sends over older connections.
+     */
     public data class RunTask(
         val job: String,
         val task: JobTask,
@@ -113,6 +116,7 @@
         val host: String,
         val team: String,
         val lastEvent: Long,
+        val needsNewConnection: Boolean = false,
     ) : JobEffect
 
     /** Cancel the current attempt of a task by closing its connection. */
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/BackendRequests.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/BackendRequests.kt
@@ -60,4 +60,5 @@
         team = effect.team.ifEmpty { null },
         remainingMilliseconds = 0,
         lastEvent = effect.lastEvent,
+        needsNewConnection = effect.needsNewConnection,
     )
