Keep the errors of a task that has generated nothing when its job changes owners

A task that fails before its first event got all its attempts again from each new owner of its job.

Why it works: an unsaved error makes a save due as unsaved events do. Its part has no events and the key of the part that follows, which replaces it, so a restored task counts on from the last saved number.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/JobOwners.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/JobOwners.kt
@@ -60,7 +60,7 @@
 /** Drops all jobs of this instance and releases each to another instance together with its unsaved progress. */
 internal fun TrafficState.releaseJobs(): Transition<TrafficState, TrafficEffect> =
     decideEach(jobs.values) { state, job ->
-        val parts = job.newParts { it.lastEvent > it.lastSavedEvent || it.isTextComplete }
+        val parts = job.newParts { it.lastEvent > it.lastSavedEvent || it.isTextComplete || it.errors > it.savedErrors }
         val release = TrafficEffect.ReleaseJob(job.record.copy(owner = "", ownerIncarnation = 0), job.version, parts)
         val dropped = state.dropJob(job.record.id, "shutting down")
         dropped.copy(effects = dropped.effects + release)
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunningJob.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunningJob.kt
@@ -62,6 +62,7 @@
  * @property text data of the received events, in order
  * @property currentVersion weight version that generates the events of the current attempt
  * @property errors number of responses with status 500
+ * @property savedErrors number of these responses that is saved in the store
  * @property scoringErrors number of responses with status 500 to its scoring calls
  * @property crashes consecutive attempts, of the task or of its scoring call, whose connections were lost
  * @property lastActivityMilliseconds time of the last dispatch, response or event, for detecting a stalled engine
@@ -84,6 +85,7 @@
     val versions: Set<Long> = emptySet(),
     val currentVersion: Long = 0,
     val errors: Int = 0,
+    val savedErrors: Int = 0,
     val scoringErrors: Int = 0,
     val crashes: Int = 0,
     val lastActivityMilliseconds: Long = 0,
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/SaveProgress.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/SaveProgress.kt
@@ -8,7 +8,7 @@
 import org.mulberrypin.decisions.decideEach
 import org.mulberrypin.schema.generated.TaskPart
 
-/** Saves the events received since the last save, for each job that is due. */
+/** Saves the events and errors received since the last save, for each job that is due. */
 internal fun TrafficState.saveProgress(nowMilliseconds: Long): Transition<TrafficState, TrafficEffect> =
     decideEach(jobs.keys) { state, id -> state.saveJob(id, nowMilliseconds) }
 
@@ -20,7 +20,9 @@
     val mustWait = job == null || job.isSaving || job.isReloading ||
         nowMilliseconds - job.lastSaveMilliseconds < SAVE_INTERVAL_MILLISECONDS
     if (job == null || mustWait) return Transition(this)
-    val parts = job.newParts { it.lastEvent - it.lastSavedEvent >= MIN_EVENTS_PER_SAVE }
+    val parts = job.newParts {
+        it.lastEvent - it.lastSavedEvent >= MIN_EVENTS_PER_SAVE || it.errors > it.savedErrors
+    }
     if (parts.isEmpty()) return Transition(this)
     val saving = job.copy(isSaving = true, lastSaveMilliseconds = nowMilliseconds)
     val batch = ProgressBatch(job.record, job.version, parts)
@@ -74,7 +76,7 @@
     var tasks = job.tasks
     for (part in event.batch.parts) {
         val task = tasks[part.task]?.takeIf { it.restarts == part.restarts } ?: continue
-        tasks = tasks.put(part.task, task.copy(lastSavedEvent = part.lastEvent))
+        tasks = tasks.put(part.task, task.copy(lastSavedEvent = part.lastEvent, savedErrors = part.errors))
     }
     return Transition(copy(jobs = jobs.put(job.record.id, job.copy(isSaving = false, tasks = tasks))))
 }
@@ -118,6 +120,7 @@
         versions = part.versions.toSet(),
         currentVersion = part.currentVersion,
         errors = part.errors,
+        savedErrors = part.errors,
         restarts = part.restarts,
         isTextComplete = part.complete,
     )
