--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunningJob.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunningJob.kt
@@ -62,12 +62,14 @@
  * @property text data of the received events, in order
  * @property currentVersion weight version that generates the events of the current attempt
  * @property errors number of responses with status 500
+ * @property savedErrors number of these responses that is saved in the store
  * @property scoringErrors number of responses with status 500 to its scoring calls
  * @property crashes consecutive attempts, of the task or of its scoring call, whose connections were lost
  * @property lastActivityMilliseconds time of the last dispatch, response or event, for detecting a stalled engine
  * @property sentMilliseconds time at which the current attempt was sent
  * @property attemptStartEvent number of the last event received before the current attempt
  * @property restarts number of times the output was discarded and generation started over
+ * @property isUnanswered true if an attempt was sent and its answer was lost, until an engine starts a stream
  * @property isTextComplete true once an engine has ended the stream without an error
  */
 public data class TaskProgress(
@@ -83,12 +85,14 @@
     val versions: Set<Long> = emptySet(),
     val currentVersion: Long = 0,
     val errors: Int = 0,
+    val savedErrors: Int = 0,
     val scoringErrors: Int = 0,
     val crashes: Int = 0,
     val lastActivityMilliseconds: Long = 0,
     val sentMilliseconds: Long = 0,
     val attemptStartEvent: Long = 0,
     val restarts: Int = 0,
+    val isUnanswered: Boolean = false,
     val isTextComplete: Boolean = false,
 )
 
