Take a response for the answer to a call only if it names the call

What callers could see: the failure of another call, and a request that may not be repeated run twice. What operators could see: a weight order that counted as done, or a usage window as reported, without an answer to it.

Cause: engine reports, weight orders and usage reports compared no identifier, on connections that requests use as well, and requests accepted failures that name no request. A server that answers twice sends the second copy when the next call has been sent, so the copy was taken for the answer to that call, and its own answer for that of the one after.

Why it works: control calls have connections and identifiers of their own, and an answer that names anything else is refused and its connection closed. A response without an identifier counts only as the first one on a connection that has carried no other call, since such a connection has no earlier answers; after a control call it is then closed. Two identifiers are none.

--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/deployment/ServerStandIn.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/deployment/ServerStandIn.kt
@@ -143,13 +143,19 @@
     ): HttpResponse {
         val expected = request.headers().get("mulberrypin-expect-instance")
         return when {
-            expected != null && expected != id -> HttpResponse.of(HttpStatus.MISDIRECTED_REQUEST)
-            request.path() == "/mulberrypin/report" -> report()
-            request.path() == "/mulberrypin/order" -> order(request.contentUtf8())
+            expected != null && expected != id -> HttpResponse.of(HttpStatus.MISDIRECTED_REQUEST).naming(request)
+            request.path() == "/mulberrypin/report" -> report().naming(request)
+            request.path() == "/mulberrypin/order" -> order(request.contentUtf8()).naming(request)
             else -> run(request, path)
         }
     }
 
+    /** Repeats the identifier of [request]. */
+    private fun HttpResponse.naming(request: AggregatedHttpRequest): HttpResponse {
+        val requestId = request.headers().get("mulberrypin-request-id") ?: return this
+        return mapHeaders { it.toBuilder().set("mulberrypin-request-id", requestId).build() }
+    }
+
     private fun report(): HttpResponse {
         val body = buildJsonObject {
             put("busy", false)
