--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardRequests.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardRequests.kt
@@ -185,35 +185,38 @@
     if (!event.notRun && isSuspect(request.content)) {
         return clearSuspect(request.content, nowMilliseconds).andThen { it.handleResponse(event, nowMilliseconds) }
     }
-    val unassigned = request.copy(server = null, crashes = if (event.notRun) request.crashes else 0)
+    val executed = request.copy(server = null, crashes = 0, mayHaveRun = true, isCounted = true)
     return when {
         event.notRun -> {
             val avoided = copy(backends = reported.updated(server) { it.overloaded(nowMilliseconds) })
-            avoided.retryOrFail(unassigned, "status ${event.status}, not run", nowMilliseconds)
+            avoided.retryOrFail(request.copy(server = null), "status ${event.status}, not run", nowMilliseconds)
         }
 
         isFailure(request, event) -> {
-            val errors = unassigned.errors + if (event.status == HttpStatusCode.INTERNAL_ERROR) 1 else 0
-            val executed = unassigned.copy(mayHaveRun = true, errors = errors)
-            val recorded = copy(backends = reported).counted(executed)
-            recorded.andThen { it.retryAfterError(executed.copy(isCounted = true), event, nowMilliseconds) }
+            val errors = request.errors + if (event.status == HttpStatusCode.INTERNAL_ERROR) 1 else 0
+            val failed = executed.copy(errors = errors)
+            copy(backends = reported).counted(failed).andThen { it.retryAfterError(failed, event, nowMilliseconds) }
         }
 
         else -> {
-            copy(backends = reported.updated(server, Backend::succeeded)).counted(unassigned).andThen {
-                it.finish(unassigned, event, nowMilliseconds)
+            copy(backends = reported.updated(server, Backend::succeeded)).counted(executed).andThen {
+                it.finish(executed, event, nowMilliseconds)
             }
         }
     }
 }
 
-/** Whether a response is an error of the server; of a scoring call, only a signed success is a score. */
+/**
+ * Whether a response is an error of the server: also one whose status means "not run" without the server's statement.
+ * Of a scoring call, only a signed success is a score.
+ */
 private fun isFailure(
     request: ForwardedRequest,
     event: TrafficEvent.ResponseReceived,
 ): Boolean {
     val isSuccess = event.status < HttpStatusCode.REDIRECTION
-    val isError = event.status >= HttpStatusCode.INTERNAL_ERROR || request.origin is Origin.Scoring
+    val isServerError = event.status >= HttpStatusCode.INTERNAL_ERROR || meansNotRun(event.status)
+    val isError = isServerError || request.origin is Origin.Scoring
     return if (isSuccess) !event.signed else isError
 }
 
@@ -239,7 +242,8 @@
 ): Transition<TrafficState, TrafficEffect> {
     val detail = "status ${event.status}, signed=${event.signed}"
     val isScoring = request.origin is Origin.Scoring
-    val mayRelay = event.status >= HttpStatusCode.REDIRECTION && !isScoring
+    val isTrue = request.finalStatus(event.status, nowMilliseconds) == event.status
+    val mayRelay = event.status >= HttpStatusCode.REDIRECTION && isTrue && !isScoring
     return if (mayRelay && !canRetry(request, nowMilliseconds)) {
         finish(request, event, nowMilliseconds)
     } else {
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/HttpStatusCode.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/HttpStatusCode.kt
@@ -12,9 +12,18 @@
     public const val BAD_REQUEST: Int = 400
     public const val UNAUTHORIZED: Int = 401
     public const val NOT_FOUND: Int = 404
+
+    /** Guarantees that the request has not run and will not run. */
+    public const val REQUEST_TIMEOUT: Int = 408
     public const val CONFLICT: Int = 409
+
+    /** Guarantees that the request has not run and will not run. */
+    public const val MISDIRECTED: Int = 421
     public const val UNPROCESSABLE: Int = 422
 
+    /** Guarantees that the request has not run and will not run. */
+    public const val TOO_MANY_REQUESTS: Int = 429
+
     /** Lowest status that is a server error. */
     public const val INTERNAL_ERROR: Int = 500
 
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RetryRequests.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RetryRequests.kt
@@ -58,12 +58,7 @@
     val done = copy(requests = requests.remove(request.request))
     val origin = request.origin
     if (origin is Origin.Scoring) return done.handleScoringFailure(origin, request, detail, nowMilliseconds)
-    val isPastDeadline = nowMilliseconds >= request.deadlineMilliseconds
-    val status = when {
-        !request.mayHaveRun -> HttpStatusCode.UNAVAILABLE
-        isPastDeadline -> HttpStatusCode.GATEWAY_TIMEOUT
-        else -> HttpStatusCode.BAD_GATEWAY
-    }
+    val status = request.finalStatus(HttpStatusCode.UNAVAILABLE, nowMilliseconds)
     val inputs = "$detail; attempts=${request.attempt} mayHaveRun=${request.mayHaveRun} " +
         "milliseconds=${nowMilliseconds - request.arrivedMilliseconds}"
     // A failed attempt may have run, and its outcome will stay unknown, so it counts as usage.
