Send nothing new to a server that has said in a response that it is leaving

The header is read from the head of every response of a backend server. It is kept by identifier and start time beside the store's entry, so that no reading of the store undoes it; only a later start of the server ends it.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DecideTraffic.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DecideTraffic.kt
@@ -21,6 +21,7 @@
         is TrafficEvent.ConfigurationChanged -> Transition(state.copy(routing = routingTableOf(event.configuration)))
         is TrafficEvent.VersionsNamed -> Transition(state.copy(namedVersions = event.versions).withExpectedLoads())
         is TrafficEvent.BackendsChanged -> state.updateBackends(event, nowMilliseconds)
+        is TrafficEvent.ServerLeaving -> state.handleServerLeaving(event)
         is TrafficEvent.CrashRecordsRead -> state.mergeCrashRecords(event.records, nowMilliseconds, wallMilliseconds)
         is TrafficEvent.LiveInstancesRead -> Transition(state.copy(liveInstances = event.live))
         is TrafficEvent.RequestEvent -> state.decideRequest(event, nowMilliseconds)
@@ -78,7 +79,8 @@
     event: TrafficEvent.BackendsChanged,
     nowMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> {
-    val updated = copy(backends = backends.reconciledWith(event.entries).withInFlightCounts(this)).withExpectedLoads()
+    val listed = backends.reconciledWith(event.entries.map(leavingServers::mark))
+    val updated = copy(backends = listed.withInFlightCounts(this)).withExpectedLoads()
     return Transition<TrafficState, TrafficEffect>(updated).andDispatchTasks(nowMilliseconds)
 }
 
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardRequests.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardRequests.kt
@@ -143,6 +143,7 @@
                 team = request.team,
                 remainingMilliseconds = remaining.coerceAtLeast(1),
                 scoring = scoringOf(request),
+                serverStartedWallMilliseconds = chosen.entry.startedWallMilliseconds,
             ),
         ),
     )
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
@@ -111,6 +111,7 @@
                 host = job.record.host,
                 team = job.record.team,
                 lastEvent = task.lastEvent,
+                serverStartedWallMilliseconds = chosen.entry.startedWallMilliseconds,
             ),
         ),
     )
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEffect.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEffect.kt
@@ -25,6 +25,7 @@
         val team: String?,
         val remainingMilliseconds: Long,
         val scoring: ScoringCall?,
+        val serverStartedWallMilliseconds: Long,
     ) : TrafficEffect
 
     /** Cancel the current attempt of a request by closing its connection. */
@@ -113,6 +114,7 @@
         val host: String,
         val team: String,
         val lastEvent: Long,
+        val serverStartedWallMilliseconds: Long,
     ) : JobEffect
 
     /** Cancel the current attempt of a task by closing its connection. */
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEvent.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEvent.kt
@@ -33,6 +33,16 @@
         val entries: List<BackendServerEntry>,
     ) : TrafficEvent
 
+    /**
+     * A backend server said in a response that it is leaving.
+     *
+     * @property startedWallMilliseconds start time of the server that the call was meant for; null for the listed one
+     */
+    public data class ServerLeaving(
+        val server: String,
+        val startedWallMilliseconds: Long?,
+    ) : TrafficEvent
+
     /** Weight versions were named; [versions] has the newest version of each model. */
     public data class VersionsNamed(
         val versions: Map<String, Long>,
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficState.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficState.kt
@@ -8,6 +8,7 @@
  * State of the traffic decisions: routing, forwarded requests and batch jobs of this instance.
  *
  * @property routing routing table; null until a configuration has been loaded
+ * @property leavingServers backend servers that have said that they are leaving
  * @property requests client requests and scoring calls that have no final response yet, by request number
  * @property storedJobs rows of the batch jobs of all instances as last read from the store, by job
  * @property jobs batch jobs that this instance runs, by job identifier
@@ -23,6 +24,7 @@
 public data class TrafficState(
     val identity: InstanceIdentity,
     val routing: RoutingTable? = null,
+    val leavingServers: LeavingServers = LeavingServers(),
     val backends: PersistentMap<String, Backend> = persistentMapOf(),
     val requests: PersistentMap<Long, ForwardedRequest> = persistentMapOf(),
     val storedJobs: PersistentMap<String, StoredJob> = persistentMapOf(),
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/weights/DecideWeights.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/weights/DecideWeights.kt
@@ -6,6 +6,8 @@
 package org.mulberrypin.decisions.weights
 
 import org.mulberrypin.decisions.Transition
+import org.mulberrypin.decisions.traffic.mark
+import org.mulberrypin.decisions.traffic.with
 
 /** Applies an event; only the instance that holds the lease for weight orders sends orders. */
 public fun decideWeights(
@@ -15,9 +17,11 @@
 ): Transition<WeightState, WeightEffect> =
     when (event) {
         is WeightEvent.ListsChanged -> Transition(
-            state.copy(targetVersions = event.targetVersions, pools = event.pools),
+            state.copy(targetVersions = event.targetVersions, pools = event.pools).withMarkedEngines(),
         )
 
+        is WeightEvent.ServerLeaving -> Transition(state.withLeavingEngine(event))
+
         is WeightEvent.ReportRead -> state.handleReport(event, nowMilliseconds)
 
         is WeightEvent.OrderAccepted -> Transition(state.withAcceptedOrder(event.engine))
@@ -29,6 +33,15 @@
         WeightEvent.LeaseLost -> Transition(state.copy(pendingOrders = emptyMap()))
     }
 
+private fun WeightState.withLeavingEngine(event: WeightEvent.ServerLeaving): WeightState {
+    val listed = pools.flatMap { it.engines }.firstOrNull { it.id == event.engine }
+    val started = event.startedWallMilliseconds ?: listed?.startedWallMilliseconds ?: return this
+    return copy(leavingServers = leavingServers.with(event.engine, started)).withMarkedEngines()
+}
+
+private fun WeightState.withMarkedEngines(): WeightState =
+    copy(pools = pools.map { it.copy(engines = it.engines.map(leavingServers::mark)) })
+
 private fun WeightState.withAcceptedOrder(engine: String): WeightState {
     val order = pendingOrders[engine] ?: return this
     return copy(pendingOrders = pendingOrders + (engine to order.copy(accepted = true)))
@@ -75,8 +88,8 @@
         .firstOrNull { it.name == order.model }
         ?.version ?: 0
     val inputs = "model=${order.model} version=${order.version} held=$loadedVersion busy=${event.report.busy} " +
-        "acceptedOrders=${event.report.acceptedOrders}"
-    return if (loadedVersion >= order.version || event.report.busy) {
+        "acceptedOrders=${event.report.acceptedOrders} leaving=${engine.leaving}"
+    return if (loadedVersion >= order.version || event.report.busy || engine.leaving) {
         Transition(this, listOf(WeightEffect.Explain(event.engine, "order not needed yet", inputs)))
     } else {
         val next =
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/weights/WeightState.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/weights/WeightState.kt
@@ -1,5 +1,6 @@
 package org.mulberrypin.decisions.weights
 
+import org.mulberrypin.decisions.traffic.LeavingServers
 import org.mulberrypin.schema.generated.BackendServerEntry
 import org.mulberrypin.schema.generated.EngineReport
 
@@ -9,11 +10,13 @@
  * @property targetVersions weight version that the engines should load, by model
  * @property pools engine pools with their models and engines
  * @property pendingOrders orders that were started and have not finished, by engine
+ * @property leavingServers engines that have said that they are leaving
  */
 public data class WeightState(
     val targetVersions: Map<String, Long> = emptyMap(),
     val pools: List<EnginePool> = emptyList(),
     val pendingOrders: Map<String, PendingOrder> = emptyMap(),
+    val leavingServers: LeavingServers = LeavingServers(),
 )
 
 /** The engines of a pool and the models that they serve. */
@@ -42,6 +45,12 @@
         val pools: List<EnginePool>,
     ) : WeightEvent
 
+    /** An engine said in a response that it is leaving; a null start time stands for the listed lifetime. */
+    public data class ServerLeaving(
+        val engine: String,
+        val startedWallMilliseconds: Long?,
+    ) : WeightEvent
+
     /** The report of an engine, with its weights and order count, was read. */
     public data class ReportRead(
         val engine: String,
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/BackendRequests.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/BackendRequests.kt
@@ -28,6 +28,7 @@
         body = call.body,
         team = effect.team,
         remainingMilliseconds = effect.remainingMilliseconds,
+        serverStartedWallMilliseconds = effect.serverStartedWallMilliseconds,
     )
 
 internal fun scoringRequest(
@@ -45,6 +46,7 @@
         body = decodeBody(scoring.body),
         team = null,
         remainingMilliseconds = effect.remainingMilliseconds,
+        serverStartedWallMilliseconds = effect.serverStartedWallMilliseconds,
     )
 
 internal fun taskRequest(effect: TrafficEffect.RunTask): BackendRequest =
@@ -60,4 +62,5 @@
         team = effect.team.ifEmpty { null },
         remainingMilliseconds = 0,
         lastEvent = effect.lastEvent,
+        serverStartedWallMilliseconds = effect.serverStartedWallMilliseconds,
     )
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
@@ -6,6 +6,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import org.mulberrypin.decisions.traffic.InstanceIdentity
 import org.mulberrypin.decisions.traffic.TrafficEvent
+import org.mulberrypin.decisions.weights.WeightEvent
 import org.mulberrypin.platform.deployment.BackendCalls
 import org.mulberrypin.platform.deployment.DeploymentSettings
 import org.mulberrypin.platform.deployment.FrontAddresses
@@ -47,17 +48,21 @@
     val identity = identityOf(settings, clock)
     val log = startDecisionLog(identity.name, clock)
     val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
-    val clients = httpClients()
+    lateinit var traffic: TrafficDuty
+    lateinit var control: ControlDuty
+    val clients = httpClients { server, started ->
+        traffic.enqueue(TrafficEvent.ServerLeaving(server, started))
+        control.offer(ControlSignal.Weights(WeightEvent.ServerLeaving(server, started)))
+    }
     val store = httpRowStore(clients(settings.storeAddress), settings.storeAddress)
     val backends = httpBackendCalls(clients, settings.usageAddress)
-    lateinit var traffic: TrafficDuty
     val onInstances = { instances: List<org.mulberrypin.decisions.traffic.LiveInstance> ->
         traffic.enqueue(TrafficEvent.LiveInstancesRead(instances))
     }
     val controlPorts = ControlPorts(store, backends, clock, log, onInstances) {
         traffic.enqueue(TrafficEvent.CrashRecordsRead(it))
     }
-    val control = ControlDuty(identity, settings, controlPorts)
+    control = ControlDuty(identity, settings, controlPorts)
     traffic = TrafficDuty(identity, trafficPorts(store, backends, control, clock, log, registry))
     lateinit var follow: FollowDuty
     val readiness = InstanceReadiness { maxOf(traffic.millisecondsSinceTick(), follow.millisecondsSinceTick()) }
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/deployment/ServerStandIn.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/deployment/ServerStandIn.kt
@@ -43,6 +43,7 @@
  * @property version current weight version
  * @property breakNext number of subsequent streams that are aborted after their first event
  * @property isSilent while true, requests are executed and not responded to
+ * @property isLeaving while true, all responses say that the server is leaving
  * @property stop removes the server from the store and closes its port
  */
 public data class ServerStandIn(
@@ -52,6 +53,7 @@
     val version: AtomicLong,
     val breakNext: AtomicInteger,
     val isSilent: AtomicBoolean,
+    val isLeaving: AtomicBoolean,
     val stop: () -> Unit,
 )
 
@@ -94,7 +96,15 @@
     val entryAddress = advertisedAddress(address)
     handler.registerVersion = { store.write("servers", id, serverEntry(entryAddress, pool, model, it)) }
     handler.registerVersion(handler.version.get())
-    return ServerStandIn(id, address, handler.executions, handler.version, handler.breakNext, handler.isSilent) {
+    return ServerStandIn(
+        id,
+        address,
+        handler.executions,
+        handler.version,
+        handler.breakNext,
+        handler.isSilent,
+        handler.isLeaving,
+    ) {
         store.remove("servers", id)
         server.stop().join()
     }
@@ -133,6 +143,7 @@
     val version = AtomicLong(1)
     val breakNext = AtomicInteger()
     val isSilent = AtomicBoolean()
+    val isLeaving = AtomicBoolean()
     private val orderCount = AtomicLong()
     private val executedRequests = AtomicInteger()
     var registerVersion: (Long) -> Unit = {}
@@ -140,6 +151,15 @@
     fun serve(
         request: AggregatedHttpRequest,
         path: String,
+    ): HttpResponse {
+        val response = respond(request, path)
+        if (!isLeaving.get()) return response
+        return response.mapHeaders { it.toBuilder().set("server-leaving", "1").build() }
+    }
+
+    private fun respond(
+        request: AggregatedHttpRequest,
+        path: String,
     ): HttpResponse {
         val expected = request.headers().get("mulberrypin-expect-instance")
         return when {
