--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
@@ -10,8 +10,8 @@
 import org.mulberrypin.platform.deployment.BackendCalls
 import org.mulberrypin.platform.deployment.DeploymentSettings
 import org.mulberrypin.platform.deployment.FrontAddresses
-import org.mulberrypin.platform.deployment.LeavingListener
 import org.mulberrypin.platform.deployment.FrontEndPorts
+import org.mulberrypin.platform.deployment.LeavingListener
 import org.mulberrypin.platform.deployment.RowStore
 import org.mulberrypin.platform.deployment.frontServer
 import org.mulberrypin.platform.deployment.httpBackendCalls
