--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEffect.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEffect.kt
@@ -104,8 +104,8 @@
     ) : JobEffect
 
     /**
-     * Run a task on an engine, starting with the event after [lastEvent]. [needsNewConnection] is true if the answer to
-     * an earlier attempt was lost, so that this one has to be received whatever the engine sends over older connections.
+     * Run a task on an engine, starting with the event after [lastEvent]. [needsNewConnection] is true if the answer
+     * to an earlier attempt was lost, so that the answer to this one has to be received.
      */
     public data class RunTask(
         val job: String,
--- a/decisions/src/test/kotlin/org/mulberrypin/decisions/traffic/LostAnswersTest.kt
+++ b/decisions/src/test/kotlin/org/mulberrypin/decisions/traffic/LostAnswersTest.kt
@@ -6,8 +6,8 @@
 import strikt.assertions.isLessThanOrEqualTo
 
 /**
- * Guards against a task that fails at each run and is sent without end: an engine that sends its answers twice hides the
- * failure behind a copy of another answer, and a failure that is not received is not counted.
+ * Guards against a task that fails at each run and is sent without end: an engine that sends its answers twice hides
+ * the failure behind a copy of another answer, and a failure that is not received is not counted.
  */
 class LostAnswersTest {
     @Test
