Responses of backend servers of the own interface name their attempt

What callers saw: the answer to another request, when a server sent a copy of an earlier answer on a kept connection after the next request had been written there. Each request to such a server now carries an identifier of its attempt, which the response repeats. A response that does not is no answer: its connection is closed and the attempt may have run. The engines and plain services of the stand-ins repeat it, and the server of ResetServiceResponseTest does, which checks the same as before.

--- a/service/src/main/kotlin/org/mulberrypin/service/requests/ArmeriaBackendClient.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/requests/ArmeriaBackendClient.kt
@@ -37,6 +37,7 @@
             .factory(ClientFactory.builder().requireOrderlyEnds().build())
             .responseTimeout(Duration.ZERO)
             .maxResponseLength(MAX_SERVICE_RESPONSE_BYTES)
+            .decorator(attemptIdentifiers())
             .build()
     return BackendClient(
         streamCompletion = { address, content, listener -> streamCompletion(client, address, content, listener) },
@@ -132,10 +133,17 @@
         is Outcome.Failure -> null
     }
 
-/** Reports a failed exchange; only a request that is known not to have been processed counts as not sent. */
+/**
+ * Reports a failed exchange. Only a request that is known not to have been processed counts as not sent; a response to
+ * another request is no crash of the server.
+ */
 internal fun BackendListener.reportFailure(failure: Throwable) {
     val cause = Exceptions.peel(failure)
-    val ending = if (cause is UnprocessedRequestException) AttemptEnding.NOT_SENT else AttemptEnding.CUT
+    val ending = when (cause) {
+        is UnprocessedRequestException -> AttemptEnding.NOT_SENT
+        is ForeignResponseException -> AttemptEnding.FAILED
+        else -> AttemptEnding.CUT
+    }
     onFailed(ending, cause.javaClass.simpleName + ".")
 }
 
--- a/service/src/test/kotlin/org/mulberrypin/service/requests/ResetServiceResponseTest.kt
+++ b/service/src/test/kotlin/org/mulberrypin/service/requests/ResetServiceResponseTest.kt
@@ -6,11 +6,8 @@
 import org.mulberrypin.decisions.requests.AttemptEnding
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
-import java.net.InetAddress
-import java.net.ServerSocket
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
-import kotlin.concurrent.thread
 
 /** Guards against passing on part of a plain service's response, which had no length and was reset, as the whole. */
 internal class ResetServiceResponseTest {
@@ -27,16 +24,12 @@
     }
 
     private fun callServer(isReset: Boolean): String {
-        val server = ServerSocket(0, 1, InetAddress.getLoopbackAddress())
-        thread(isDaemon = true) {
-            server.accept().use { connection ->
-                val input = connection.getInputStream().bufferedReader()
-                generateSequence(input::readLine).first { it.isEmpty() }
-                connection.getOutputStream().write("HTTP/1.1 200 OK\r\n\r\npart".toByteArray())
-                // The peer reads what was written before the reset discards it.
-                Thread.sleep(100)
-                if (isReset) connection.setSoLinger(true, 0)
-            }
+        val server = startScriptedServer { connection ->
+            val attempt = connection.readRequest()?.attempt.orEmpty()
+            connection.write("HTTP/1.1 200 OK\r\n$attempt\r\npart")
+            // The peer reads what was written before the reset discards it.
+            Thread.sleep(100)
+            if (isReset) connection.reset()
         }
         val ending = CompletableFuture<String>()
         val listener = BackendListener(
@@ -46,8 +39,8 @@
             onFailed = { failure, _ -> ending.complete(failure.name) },
         )
         val call = AggregatedHttpRequest.of(HttpMethod.GET, "/stock")
-        client.callService("127.0.0.1:${server.localPort}", call, listener)
-        return ending.get(WAIT_SECONDS, TimeUnit.SECONDS).also { server.close() }
+        client.callService(server.address, call, listener)
+        return ending.get(WAIT_SECONDS, TimeUnit.SECONDS).also { server.stop() }
     }
 
     private companion object {
--- a/stand-ins/src/main/kotlin/org/mulberrypin/standins/StandInServer.kt
+++ b/stand-ins/src/main/kotlin/org/mulberrypin/standins/StandInServer.kt
@@ -28,6 +28,7 @@
         .maxRequestLength(MAXIMUM_REQUEST_BYTES)
         .gracefulShutdownTimeoutMillis(0, 0)
     addRoutes(builder)
+    repeatAttemptIdentifiers(builder)
     val server = builder.build()
     server.start().join()
     val openPort = server.activeLocalPort()
@@ -40,6 +41,14 @@
     )
 }
 
+/** Repeats the identifier of each request in its response, so that the client can tell whose response it is. */
+private fun repeatAttemptIdentifiers(builder: ServerBuilder) {
+    builder.decorator { delegate, context, request ->
+        request.headers().get(ATTEMPT_ID_HEADER)?.let { context.addAdditionalResponseHeader(ATTEMPT_ID_HEADER, it) }
+        delegate.serve(context, request)
+    }
+}
+
 /** Waits until [port] refuses connections, which is much sooner than the threads of its server end. */
 private fun awaitRefusal(port: Int) {
     repeat(REFUSAL_ATTEMPTS) {
@@ -56,6 +65,7 @@
         true
     }
 
+private const val ATTEMPT_ID_HEADER = "x-attempt-id"
 private const val LOOPBACK = "127.0.0.1"
 private const val MAXIMUM_REQUEST_BYTES = 256L * 1024 * 1024
 private const val REFUSAL_ATTEMPTS = 400
