An event of an engine that is no part of a completion ends the attempt

What callers saw: a stream that broke off and then ended as if it were complete, when the next engine answered with status 200 and an event with an error, followed by the end marker. The event was passed over. An event without choices and without usage now counts as malformed: the attempt is cut, and the completion is resumed or fails.

--- a/service/src/main/kotlin/org/mulberrypin/service/requests/CompletionSubscriber.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/requests/CompletionSubscriber.kt
@@ -8,8 +8,10 @@
 import org.mulberrypin.decisions.requests.AttemptEnding
 import org.mulberrypin.decisions.requests.RequestReply
 import org.mulberrypin.runtime.Fault
+import org.mulberrypin.runtime.FaultKind
 import org.mulberrypin.runtime.Outcome
 import org.mulberrypin.runtime.parseWireJson
+import org.mulberrypin.runtime.then
 import org.mulberrypin.schema.generated.CompletionChunk
 import org.reactivestreams.Subscriber
 import org.reactivestreams.Subscription
@@ -110,12 +112,22 @@
             ended = true
             return null
         }
-        return when (val chunk = parseWireJson(event, CompletionChunk.serializer(), "completion chunk", address)) {
+        return when (val chunk = parseChunk(event)) {
             is Outcome.Success -> handleChunk(chunk.value)
             is Outcome.Failure -> failOnMalformedEvent(chunk.fault)
         }
     }
 
+    /** Any other event, such as an error, means that the completion may lack a part. */
+    private fun parseChunk(event: String): Outcome<CompletionChunk> =
+        parseWireJson(event, CompletionChunk.serializer(), STEP, address).then { chunk ->
+            if (chunk.choices.isNotEmpty() || chunk.usage != null) {
+                Outcome.Success(chunk)
+            } else {
+                Outcome.Failure(Fault(STEP, address, FaultKind.REFUSED, "found neither choices nor usage"))
+            }
+        }
+
     /** A malformed event may have contained text, so the completion can no longer be finished. */
     private fun failOnMalformedEvent(fault: Fault): RequestReply.Chunk? {
         ended = true
@@ -137,6 +149,7 @@
     }
 
     private companion object {
+        private const val STEP = "completion chunk"
         private const val END_MARKER = "[DONE]"
         private const val DEFAULT_FINISH_REASON = "stop"
         private const val MAX_ERROR_CHARACTERS = 4_096
