--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
@@ -51,20 +51,11 @@
     val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     lateinit var traffic: TrafficDuty
     lateinit var control: ControlDuty
-    val onLeaving: LeavingListener = { server, started ->
-        traffic.enqueue(TrafficEvent.ServerLeaving(server, started))
-        control.offer(ControlSignal.Weights(WeightEvent.ServerLeaving(server, started)))
-    }
+    val onLeaving = leavingListener({ traffic }, { control })
     val clients = httpClients(onLeaving)
     val store = httpRowStore(clients(settings.storeAddress), settings.storeAddress)
     val backends = httpBackendCalls(clients, settings.usageAddress, httpClients(onLeaving))
-    val onInstances = { instances: List<org.mulberrypin.decisions.traffic.LiveInstance> ->
-        traffic.enqueue(TrafficEvent.LiveInstancesRead(instances))
-    }
-    val controlPorts = ControlPorts(store, backends, clock, log, onInstances) {
-        traffic.enqueue(TrafficEvent.CrashRecordsRead(it))
-    }
-    control = ControlDuty(identity, settings, controlPorts)
+    control = ControlDuty(identity, settings, controlPorts(store, backends, clock, log) { traffic })
     traffic = TrafficDuty(identity, trafficPorts(store, backends, control, clock, log, registry))
     lateinit var follow: FollowDuty
     val readiness = InstanceReadiness { maxOf(traffic.millisecondsSinceTick(), follow.millisecondsSinceTick()) }
@@ -95,6 +86,27 @@
     }
 }
 
+/** Tells both duties that choose backend servers of one that is leaving; they exist once the first response arrives. */
+private fun leavingListener(
+    traffic: () -> TrafficDuty,
+    control: () -> ControlDuty,
+): LeavingListener =
+    { server, started ->
+        traffic().enqueue(TrafficEvent.ServerLeaving(server, started))
+        control().offer(ControlSignal.Weights(WeightEvent.ServerLeaving(server, started)))
+    }
+
+private fun controlPorts(
+    store: RowStore,
+    backends: BackendCalls,
+    clock: ServiceClock,
+    log: DecisionLog,
+    traffic: () -> TrafficDuty,
+): ControlPorts =
+    ControlPorts(store, backends, clock, log, { traffic().enqueue(TrafficEvent.LiveInstancesRead(it)) }) {
+        traffic().enqueue(TrafficEvent.CrashRecordsRead(it))
+    }
+
 private fun trafficPorts(
     store: RowStore,
     backends: BackendCalls,
--- a/service/src/main/kotlin/org/mulberrypin/service/requests/AttemptIdentifiers.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/requests/AttemptIdentifiers.kt
@@ -15,9 +15,6 @@
 import java.util.UUID
 import java.util.concurrent.atomic.AtomicLong
 
-/** A response that does not repeat the identifier of its request; the request may have run. */
-internal class ForeignResponseException : RuntimeException("The response does not name its request.")
-
 /** Returns a decorator that gives each request an identifier and fails responses that do not repeat it. */
 internal fun attemptIdentifiers(): DecoratingHttpClientFunction {
     val client = UUID.randomUUID()
