--- a/decisions/src/test/kotlin/org/mulberrypin/decisions/traffic/LostAnswersTest.kt
+++ b/decisions/src/test/kotlin/org/mulberrypin/decisions/traffic/LostAnswersTest.kt
@@ -32,6 +32,17 @@
         expectThat(fixture.nextRun()?.needsNewConnection).isEqualTo(false)
     }
 
+    // Guards against tasks that open, and close, connections at every refusal of a full engine after one lost answer.
+    @Test
+    fun `the next attempt of a task uses a kept connection once an engine has answered with a refusal`() {
+        val fixture = fixture()
+        fixture.loseAnswer(fixture.startJob(1).single())
+        val second = fixture.nextRun()!!
+        expectThat(second.needsNewConnection).isEqualTo(true)
+        fixture.decide(TrafficEvent.TaskResponseReceived(second.job, second.task.id, second.attempt, 503, true, null))
+        expectThat(fixture.nextRun()?.needsNewConnection).isEqualTo(false)
+    }
+
     /** Answers each attempt with [status], which is received only over a new connection. */
     private fun sendsUntilGivenUp(status: Int): Int {
         val fixture = fixture()
