--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
@@ -242,6 +242,7 @@
     val waiting = task.copy(
         phase = TaskPhase.WAITING,
         errors = errors,
+        isUnanswered = task.isUnanswered && !event.notRun,
         notBeforeMilliseconds = nowMilliseconds + if (event.notRun) 0 else ERROR_BACKOFF_MILLISECONDS,
     )
     val next = if (isPermanent) {
