--- a/command/src/test/kotlin/org/mulberrypin/command/processes/ProgramProcess.kt
+++ b/command/src/test/kotlin/org/mulberrypin/command/processes/ProgramProcess.kt
@@ -77,13 +77,17 @@
     }
 }
 
-/** Returns the command line that runs the program with [arguments] on a JVM with the additional [options]. */
+/**
+ * Returns the command line that runs the program with [arguments] on a JVM with the additional [options];
+ * `-Dentry.class.path` selects another build of the program.
+ */
 internal fun programCommand(
     arguments: List<String>,
     options: List<String> = emptyList(),
 ): List<String> {
     val java = File(System.getProperty("java.home"), "bin/java").path
-    val defaultOptions = listOf("-Xmx160m", "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"))
+    val classPath = System.getProperty("entry.class.path") ?: System.getProperty("java.class.path")
+    val defaultOptions = listOf("-Xmx160m", "-XX:+UseSerialGC", "-cp", classPath)
     return listOf(java) + defaultOptions + options + "org.mulberrypin.command.MainKt" + arguments
 }
 
