--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/EndTaskAttempts.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/EndTaskAttempts.kt
@@ -9,7 +9,7 @@
     nowMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> =
     decideCurrentAttempt(event) { job, task ->
-        val unanswered = task.copy(isUnanswered = task.isUnanswered || event.sent && !event.connectionLost)
+        val unanswered = task.copy(isUnanswered = task.isUnanswered || (event.sent && !event.connectionLost))
         val failed = if (event.connectionLost) unanswered.withLostConnection(nowMilliseconds) else unanswered
         failTaskAttempt(job, failed, event.detail, nowMilliseconds)
     }
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunningJob.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunningJob.kt
@@ -69,8 +69,8 @@
  * @property sentMilliseconds time at which the current attempt was sent
  * @property attemptStartEvent number of the last event received before the current attempt
  * @property restarts number of times the output was discarded and generation started over
- * @property isUnanswered true if an attempt got another answer than its own, or none, over a connection that stayed open;
- *   until an engine starts a stream or refuses the task
+ * @property isUnanswered true if an attempt got another answer than its own, or none, though its connection was not
+ *   lost; until an engine starts a stream or refuses the task
  * @property isTextComplete true once an engine has ended the stream without an error
  */
 public data class TaskProgress(
