--- a/command/src/test/kotlin/org/mulberrypin/command/deployment/StutteringServersTest.kt
+++ b/command/src/test/kotlin/org/mulberrypin/command/deployment/StutteringServersTest.kt
@@ -5,7 +5,6 @@
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.jsonArray
 import kotlinx.serialization.json.jsonObject
-import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.io.CleanupMode
 import org.junit.jupiter.api.io.TempDir
@@ -37,7 +36,6 @@
     private val durationMilliseconds = Integer.getInteger("stuttering.seconds", SHORT_SECONDS) * 1_000L
 
     @Test
-    @Tag("known-red")
     fun `gives each caller the whole response to its own request`() {
         val plan = StutteringPlan(
             copies = System.getProperty("stuttering.copies", "0.5").toDouble(),
