--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardRequests.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardRequests.kt
@@ -111,7 +111,7 @@
     nowMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> {
     val candidates = backends.values.filter {
-        it.entry.pool == request.pool && !it.entry.leaving && it.entry.id !in request.tried
+        it.entry.pool == request.pool && isUsable(it) && it.entry.id !in request.tried
     }
     val chosen = chooseBackend(
         candidates,
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
@@ -1,52 +1,16 @@
-/**
- * Runs the tasks of a job: assigns them to engines, resumes failed streams after the last received event, and completes
- * tasks.
- */
+/** Runs the tasks of a job: sends them to engines, resumes failed streams after the last event, completes them. */
 package org.mulberrypin.decisions.traffic
 
 import org.mulberrypin.decisions.Transition
 import org.mulberrypin.decisions.andThen
-import org.mulberrypin.decisions.decideEach
-import org.mulberrypin.schema.generated.JobSubmission
-import org.mulberrypin.schema.generated.ServingRoute
 import org.mulberrypin.schema.generated.TaskResult
 
-/**
- * Order in which tasks start. The first half of the wanted groups keeps the order of the submission, since the trainer
- * may need these groups in any case. The other groups start shortest first, since the trainer ends the job once enough
- * groups are complete. Within a group, the longest task starts first.
- */
-internal fun taskOrder(
-    submission: JobSubmission,
-    lengthHints: Map<String, Long>,
-): List<String> {
-    val groups = submission.tasks
-        .groupBy { it.group }
-        .values
-        .toList()
-    val unsortedGroupCount = submission.wantedGroups / 2
-    val (first, others) = groups.withIndex().partition { it.index < unsortedGroupCount }
-    val sorted = others.sortedBy { group -> group.value.maxOf { lengthHints[it.id] ?: 0 } }
-    return (first + sorted)
-        .flatMap { group ->
-            group.value.sortedByDescending { lengthHints[it.id] ?: 0 }
-        }.map { it.id }
-}
-
 internal fun TrafficState.withTask(
     job: RunningJob,
     task: TaskProgress,
 ): TrafficState = copy(jobs = jobs.put(job.record.id, job.copy(tasks = job.tasks.put(task.task.id, task))))
 
-/** Dispatches tasks that are waiting for an engine or for their scoring call, those of the oldest job first. */
-internal fun TrafficState.dispatchTasks(nowMilliseconds: Long): Transition<TrafficState, TrafficEffect> {
-    val oldestFirst = jobs.values.sortedBy { it.record.submittedWallMilliseconds }
-    return decideEach(oldestFirst) { state, job ->
-        state.decideEach(job.order) { next, id -> next.dispatchIfDue(job.record.id, id, nowMilliseconds) }
-    }
-}
-
-private fun TrafficState.dispatchIfDue(
+internal fun TrafficState.dispatchIfDue(
     jobId: String,
     taskId: String,
     nowMilliseconds: Long,
@@ -132,57 +96,6 @@
     }
 }
 
-/**
- * Selects an engine with suitable weights and a free slot: one that is neither occupied nor slow, with a preference for
- * engines that have read the group's prompt.
- */
-private fun TrafficState.chooseEngine(
-    job: RunningJob,
-    route: ServingRoute,
-    task: TaskProgress,
-    nowMilliseconds: Long,
-): Backend? {
-    val available = enginesFor(task, availableEngines(job, route, task, nowMilliseconds), nowMilliseconds)
-    if (available.isEmpty()) return null
-    val groupServers = job.tasks.values
-        .filter { it.task.group == task.task.group && it.task.id != task.task.id }
-        .mapNotNullTo(HashSet()) { it.server }
-    val bestPace = available.mapNotNull { it.knownPace(nowMilliseconds) }.minOrNull()
-    val seed = stableHash(0, task.task.group)
-    return available.minWithOrNull(
-        compareBy<Backend> { engine ->
-            val affinity = if (engine.entry.id in groupServers) GROUP_AFFINITY else 0
-            val loading = if (engine.entry.id in loadingServers) LOADING_PENALTY else 0
-            engine.occupancy(nowMilliseconds) + engine.slowness(bestPace, nowMilliseconds) + loading - affinity
-        }.thenBy { it.entry.failureDomain != identity.failureDomain }
-            .thenBy { stableHash(seed, it.entry.id) },
-    )
-}
-
-/** Engines that could run a task now. */
-internal fun TrafficState.availableEngines(
-    job: RunningJob,
-    route: ServingRoute,
-    task: TaskProgress,
-    nowMilliseconds: Long,
-): List<Backend> {
-    val pools = route.pools.mapTo(HashSet()) { it.pool }
-    val model = job.submission.model
-    return backends.values.filter { backend ->
-        backend.entry.pool in pools && !backend.entry.leaving &&
-            backend.versionOf(model) >= job.submission.minimumVersion &&
-            matchesVersion(route, task, backend.versionOf(model)) &&
-            backend.inFlight < backend.entry.slots && !backend.isIsolated &&
-            backend.avoidedUntilMilliseconds <= nowMilliseconds
-    }
-}
-
-private fun matchesVersion(
-    route: ServingRoute,
-    task: TaskProgress,
-    version: Long,
-): Boolean = !route.singleWeightVersion || task.versions.all { it == version }
-
 /** Applies a stream event with [decide], unless the event belongs to an earlier attempt. */
 internal inline fun TrafficState.decideCurrentAttempt(
     event: TrafficEvent.TaskStreamEvent,
@@ -356,11 +269,5 @@
     attempt: Int,
 ): TaskProgress? = tasks[task]?.takeIf { it.phase == TaskPhase.RUNNING && it.attempt == attempt }
 
-/** Occupancy, in eighths of the slots, that an engine which has read the group's prompt may have beyond another one. */
-private const val GROUP_AFFINITY = 3
-
-/** Penalty of an engine that is expected to load weights: all other engines are filled first. */
-private const val LOADING_PENALTY = 32
-
 /** Backoff after a task failed with an error, in milliseconds: about three times the interval between events. */
 private const val ERROR_BACKOFF_MILLISECONDS = 100L
--- /dev/null
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/UsableServers.kt
@@ -0,0 +1,6 @@
+/** The backend servers that may receive work now, whatever their load. */
+package org.mulberrypin.decisions.traffic
+
+/** Whether [backend] may be sent a request, task or scoring call. Every choice of a server starts with these. */
+internal fun TrafficState.isUsable(backend: Backend): Boolean =
+    !backend.entry.leaving && backend.entry.id in backends
