Send nothing to failure domains that the operator evacuates

Cause: the operator's rows evacuate/DOMAIN were unknown, so that work went on to be sent to a failure domain that was about to be emptied. Change: the follow duty reads the rows of the operator's table by their names, publishes the set before the first configuration and again each second once there has been one, and keeps it while a lost history is read again. The traffic decision lets no request, retry, scoring call, task or move use a server of an evacuated domain, refuses requests of a pool that is evacuated as a whole at once, as not run, with a time to come back, and begins texts anew whose single version only engines there still have. Weight orders leave those engines out. A deletion in the feed that is older than the row of the scan no longer removes it. Log lines, a gauge and a section of the operations page. Result: mvn -pl service -am verify passed. Seen to fail first with the check in isAdmitted taken out (4 of 5 tests of EvacuatedDomainsTest), and with publication during a scan and old deletions let in (2 of 3 tests of EvacuationRowsTest). The test of EntryPathTest was not run yet.

--- a/command/src/test/kotlin/org/mulberrypin/command/deployment/EntryPathTest.kt
+++ b/command/src/test/kotlin/org/mulberrypin/command/deployment/EntryPathTest.kt
@@ -76,6 +76,29 @@
         }
     }
 
+    @Test
+    fun `refuses as not run while the operator evacuates all servers, and serves again once that is taken back`() {
+        DeploymentEnvironment().use { environment ->
+            val instance = environment.start("entry-1")
+            environment.store.write("op", "evacuate/zone-a", "{}")
+            await("refusal", EVACUATION_MILLISECONDS) {
+                val response = environment.caller(instance).request("/orders/1", "id-1", CALLER_KEY)
+                response.status().code() == 503 && response.headers().get("retry-after") != null
+            }
+            val executed = environment.plainService.executedRequests.size
+            environment.caller(instance).request("/orders/1", "id-2", CALLER_KEY)
+            expectThat(environment.plainService.executedRequests).hasSize(executed)
+            environment.store.remove("op", "evacuate/zone-a")
+            await("an answer", EVACUATION_MILLISECONDS) {
+                environment
+                    .caller(instance)
+                    .request("/orders/1", "id-3", CALLER_KEY)
+                    .status()
+                    .code() == 200
+            }
+        }
+    }
+
     @Test
     fun `serves the results of an ended job from an instance started later`() {
         DeploymentEnvironment().use { environment ->
@@ -177,4 +200,7 @@
     }
 }
 
+/** Time within which an evacuation is in force on every instance, in milliseconds, as the deployments state it. */
+private const val EVACUATION_MILLISECONDS = 5_000L
+
 private fun JsonObject.text(name: String): String = getValue(name).jsonPrimitive.content
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DecideTraffic.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DecideTraffic.kt
@@ -20,8 +20,7 @@
     when (event) {
         is TrafficEvent.ConfigurationChanged -> Transition(state.copy(routing = routingTableOf(event.configuration)))
         is TrafficEvent.VersionsNamed -> Transition(state.copy(namedVersions = event.versions).withExpectedLoads())
-        is TrafficEvent.BackendsChanged -> state.updateBackends(event, nowMilliseconds)
-        is TrafficEvent.ServerLeaving -> state.handleServerLeaving(event)
+        is TrafficEvent.BackendEvent -> state.decideBackends(event, nowMilliseconds)
         is TrafficEvent.CrashRecordsRead -> state.mergeCrashRecords(event.records, nowMilliseconds, wallMilliseconds)
         is TrafficEvent.LiveInstancesRead -> Transition(state.copy(liveInstances = event.live))
         is TrafficEvent.RequestEvent -> state.decideRequest(event, nowMilliseconds)
@@ -33,6 +32,16 @@
         TrafficEvent.Tick -> state.tick(nowMilliseconds, wallMilliseconds)
     }
 
+private fun TrafficState.decideBackends(
+    event: TrafficEvent.BackendEvent,
+    nowMilliseconds: Long,
+): Transition<TrafficState, TrafficEffect> =
+    when (event) {
+        is TrafficEvent.BackendsChanged -> updateBackends(event, nowMilliseconds)
+        is TrafficEvent.ServerLeaving -> handleServerLeaving(event)
+        is TrafficEvent.DomainsEvacuated -> handleDomainsEvacuated(event.domains, nowMilliseconds)
+    }
+
 private fun TrafficState.decideRequest(
     event: TrafficEvent.RequestEvent,
     nowMilliseconds: Long,
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ExpectedLoads.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ExpectedLoads.kt
@@ -10,7 +10,7 @@
  */
 internal fun TrafficState.withExpectedLoads(): TrafficState {
     val modelsByPool = routing?.modelsByPool.orEmpty()
-    val entries = backends.values.map { it.entry }
+    val entries = backends.values.map { it.entry }.filter { it.failureDomain !in evacuatedDomains }
     val pools = modelsByPool
         .filterValues { it.isNotEmpty() }
         .map { (pool, models) -> EnginePool(models, entries.filter { it.pool == pool }) }
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardRequests.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardRequests.kt
@@ -104,7 +104,11 @@
     request: ForwardedRequest,
     nowMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> =
-    copy(requests = requests.put(request.request, request)).sendRequest(request, nowMilliseconds)
+    if (request.origin == Origin.Caller && isWhollyEvacuated(request.pool)) {
+        refuseEvacuated(request)
+    } else {
+        copy(requests = requests.put(request.request, request)).sendRequest(request, nowMilliseconds)
+    }
 
 internal fun TrafficState.sendRequest(
     request: ForwardedRequest,
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RestartTasks.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RestartTasks.kt
@@ -23,7 +23,7 @@
     if (!route.singleWeightVersion || task.versions.isEmpty()) return false
     val pools = route.pools.mapTo(HashSet()) { it.pool }
     return backends.values.none {
-        it.entry.pool in pools && !it.entry.leaving && it.versionOf(job.submission.model) in task.versions
+        it.entry.pool in pools && isAdmitted(it) && it.versionOf(job.submission.model) in task.versions
     }
 }
 
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEvent.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEvent.kt
@@ -13,6 +13,9 @@
     /** Events of client requests and scoring calls. */
     public sealed interface RequestEvent : TrafficEvent
 
+    /** Events that change which backend servers are used. */
+    public sealed interface BackendEvent : TrafficEvent
+
     /** Events of batch jobs. */
     public sealed interface JobEvent : TrafficEvent
 
@@ -31,7 +34,7 @@
     /** The list of backend servers changed; [entries] is the complete list. */
     public data class BackendsChanged(
         val entries: List<BackendServerEntry>,
-    ) : TrafficEvent
+    ) : BackendEvent
 
     /**
      * A backend server said in a response that it is leaving.
@@ -41,7 +44,12 @@
     public data class ServerLeaving(
         val server: String,
         val startedWallMilliseconds: Long?,
-    ) : TrafficEvent
+    ) : BackendEvent
+
+    /** The operator's evacuations changed; [domains] are all evacuated failure domains. */
+    public data class DomainsEvacuated(
+        val domains: Set<String>,
+    ) : BackendEvent
 
     /** Weight versions were named; [versions] has the newest version of each model. */
     public data class VersionsNamed(
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficState.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficState.kt
@@ -18,6 +18,7 @@
  * @property suspects contents of client requests under which backend servers crashed, by digest
  * @property loadingServers engines that are expected to load weights now and refuse tasks meanwhile
  * @property liveInstances instances that are sending heartbeats
+ * @property evacuatedDomains failure domains whose backend servers the operator lets nothing be sent to
  * @property nextInternalRequest number of the next request that this instance originates; counts down from -1 so
  * that it never equals a request number of the front end
  */
@@ -35,6 +36,7 @@
     val namedVersions: Map<String, Long> = emptyMap(),
     val loadingServers: Set<String> = emptySet(),
     val liveInstances: List<LiveInstance> = emptyList(),
+    val evacuatedDomains: Set<String> = emptySet(),
     val draining: Boolean = false,
     val nextInternalRequest: Long = -1,
     val lastTakeoverMilliseconds: Long = 0,
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/ControlDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/ControlDuty.kt
@@ -81,6 +81,7 @@
     private var pools = emptyList<ServingPool>()
     private var engines = emptyList<BackendServerEntry>()
     private var namedWeights = emptyList<NamedWeights>()
+    private var evacuatedDomains = emptySet<String>()
     private var announcedCrashes = emptyList<CrashRecord>()
     private var knownCrashes = emptyList<CrashRecord>()
     private var heartbeatCount = 0L
@@ -198,9 +199,11 @@
         pools = signal.pools ?: pools
         engines = signal.backends ?: engines
         namedWeights = signal.namedWeights ?: namedWeights
+        evacuatedDomains = signal.evacuatedDomains ?: evacuatedDomains
+        val admitted = engines.filter { it.failureDomain !in evacuatedDomains }
         val enginePools = pools
             .filter { it.models.isNotEmpty() }
-            .map { pool -> EnginePool(pool.models, engines.filter { it.pool == pool.name }) }
+            .map { pool -> EnginePool(pool.models, admitted.filter { it.pool == pool.name }) }
         handleWeightEvent(WeightEvent.ListsChanged(namedWeights.associate { it.model to it.version }, enginePools))
         if (currentHold() != null) handleWeightEvent(WeightEvent.Tick)
     }
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/ControlSignal.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/ControlSignal.kt
@@ -42,6 +42,7 @@
         val pools: List<ServingPool>? = null,
         val backends: List<BackendServerEntry>? = null,
         val namedWeights: List<NamedWeights>? = null,
+        val evacuatedDomains: Set<String>? = null,
     ) : ControlSignal
 
     /** The instance started to shut down. */
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
@@ -181,6 +181,10 @@
     readiness: InstanceReadiness,
 ): FollowOutlets =
     FollowOutlets(
+        onEvacuations = {
+            traffic.enqueue(TrafficEvent.DomainsEvacuated(it))
+            control.offer(ControlSignal.ListsChanged(evacuatedDomains = it))
+        },
         onConfiguration = {
             traffic.enqueue(TrafficEvent.ConfigurationChanged(it))
             control.offer(ControlSignal.ListsChanged(pools = it.pools))
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/FollowDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/FollowDuty.kt
@@ -18,8 +18,14 @@
 import org.mulberrypin.schema.generated.NamedWeights
 import org.mulberrypin.schema.generated.ServingConfiguration
 
-/** Callbacks for the tables that the follow duty watches; called on its thread. */
+/**
+ * Callbacks for the tables that the follow duty watches; called on its thread.
+ *
+ * @property onEvacuations receives all evacuated failure domains, the first time before the first configuration, and
+ *   again from time to time, since a full ring may drop one of the calls
+ */
 internal data class FollowOutlets(
+    val onEvacuations: (Set<String>) -> Unit,
     val onConfiguration: (ServingConfiguration) -> Unit,
     val onWeights: (List<NamedWeights>) -> Unit,
     val onBackends: (List<BackendServerEntry>) -> Unit,
@@ -58,6 +64,8 @@
         FollowedTable(StoreTables.JOBS, jobPartitions),
     ).associateBy { it.table }
     private var backendEntries = LapsedEntries()
+    private var evacuationRows = EvacuationRows()
+    private var nextEvacuationsMilliseconds = Long.MAX_VALUE
     private var configurationVersion = 0L
     private var listedServers = ListedServers()
     private var publishedBackends: List<BackendServerEntry>? = null
@@ -137,6 +145,7 @@
 
     private fun publishOperator(table: FollowedTable) {
         val rows = table.rows.values
+        publishEvacuations(rows)
         val row = rows.firstOrNull { it.key == PlatformTables.CONFIGURATION_KEY }
         if (row != null && row.version > configurationVersion) {
             val configuration = decodeConfiguration(row.value)
@@ -158,6 +167,20 @@
         outlets.onWeights(named.mapNotNull(::decodeWeights))
     }
 
+    private fun publishEvacuations(rows: Collection<StoredRow>) {
+        val before = evacuationRows.domains
+        evacuationRows = evacuationRows.read(rows)
+        evacuationRows.newlyUnreadable.forEach { row ->
+            log.write(SOURCE, row.key, "evacuation names no failure domain", "store", "rowVersion=${row.version}")
+        }
+        if (evacuationRows.domains != before) announceEvacuations()
+    }
+
+    private fun announceEvacuations() {
+        nextEvacuationsMilliseconds = clock.readMilliseconds() + EVACUATIONS_INTERVAL_MILLISECONDS
+        outlets.onEvacuations(evacuationRows.domains)
+    }
+
     private fun decodeWeights(row: StoredRow): NamedWeights? {
         val pair = decodeNamedWeights(row.value)
         if (pair == null) log.write(SOURCE, row.key, "named version not readable", "store", "rowVersion=${row.version}")
@@ -210,6 +233,7 @@
     private fun tick() {
         val now = clock.readMilliseconds()
         tables.values.forEach { sendNextCall(it, now) }
+        if (now >= nextEvacuationsMilliseconds) announceEvacuations()
         val backendTable = tables.getValue(PlatformTables.BACKEND_SERVERS)
         if (backendTable.version != null && backendEntries.hasExpired(now)) publishBackends(backendTable, now)
     }
@@ -240,6 +264,9 @@
         private const val SOURCE = "follow"
         private const val RING_CAPACITY = 64
         private const val TICK_INTERVAL_MILLISECONDS = 100L
+
+        /** Interval between repeated announcements of the evacuations, in milliseconds, once there has been one. */
+        private const val EVACUATIONS_INTERVAL_MILLISECONDS = 1_000L
         private const val STOP_TIMEOUT_MILLISECONDS = 300L
     }
 }
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/FollowTable.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/FollowTable.kt
@@ -122,10 +122,15 @@
     var next = rows
     for (row in result.rows) {
         val key = row.partition to row.key
-        val isStale = (next[key]?.version ?: 0) >= row.version && !row.deleted
+        val known = next[key]?.version ?: 0
         next = when {
+            // A page of the scan may hold a row that was written after the deletion that the feed reports.
+            row.deleted && row.version in 1 until known -> next
+
             row.deleted -> next - key
-            isStale -> next
+
+            known >= row.version -> next
+
             else -> next + (key to row)
         }
     }
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficCounters.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficCounters.kt
@@ -13,6 +13,7 @@
     val attempts: Counter,
     val jobs: AtomicInteger,
     val tasks: AtomicInteger,
+    val evacuatedDomains: AtomicInteger,
     val requestLatency: Timer,
     val jobCallLatency: Timer,
 )
@@ -25,6 +26,7 @@
         attempts = registry.counter("mulberrypin_attempts"),
         jobs = registry.gauge("mulberrypin_jobs_running", AtomicInteger()),
         tasks = registry.gauge("mulberrypin_tasks_running", AtomicInteger()),
+        evacuatedDomains = registry.gauge("mulberrypin_failure_domains_evacuated", AtomicInteger()),
         requestLatency = latencyHistogram(registry, "mulberrypin_request_latency"),
         jobCallLatency = latencyHistogram(registry, "mulberrypin_job_call_latency"),
     )
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
@@ -121,6 +121,7 @@
         runningTasks.set(taskCancellers.size)
         ports.counters.jobs.set(state.jobs.size)
         ports.counters.tasks.set(taskCancellers.size)
+        ports.counters.evacuatedDomains.set(state.evacuatedDomains.size)
     }
 
     /** Removes the cancellation handles of finished requests and streams. */
