Tell backend servers the priority of requests, tasks and scoring calls

Priorities of routes and teams were decoded and used by no decision. Work now has a rank, that of its team before that of its route, and servers are told a priority from 0 to 9 where the configuration's priorities differ and the server's default would not say the same. Priorities outside of that range are mapped by their order; with one priority for all nothing is sent, as before.

WorkRanksTest and PriorityHeaderTest pass; without the mapping three of the four tests of the first fail, the fourth fails if a single priority is mapped as well.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardRequests.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardRequests.kt
@@ -144,6 +144,7 @@
                 remainingMilliseconds = remaining.coerceAtLeast(1),
                 scoring = scoringOf(request),
                 serverStartedWallMilliseconds = chosen.entry.startedWallMilliseconds,
+                priority = serverPriority(request.route, request.team),
             ),
         ),
     )
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RoutingTable.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RoutingTable.kt
@@ -10,6 +10,8 @@
  * @property teamByKey team of each API key
  * @property requiresKeys true if the configuration has teams; without teams, requests need no key
  * @property modelsByPool models that the engines of each pool serve
+ * @property priorityByTeam priority of each team that has one of its own
+ * @property serverPriorities priority that backend servers are told, by priority; empty if all work has the same one
  */
 public data class RoutingTable(
     val version: Long,
@@ -17,6 +19,8 @@
     val teamByKey: Map<String, String>,
     val requiresKeys: Boolean,
     val modelsByPool: Map<String, List<String>>,
+    val priorityByTeam: Map<String, Int> = emptyMap(),
+    val serverPriorities: Map<Int, Int> = emptyMap(),
 )
 
 /** Builds the lookup tables for [configuration]. */
@@ -29,6 +33,8 @@
         teamByKey = configuration.teams.flatMap { team -> team.keys.map { it to team.name } }.toMap(),
         requiresKeys = configuration.teams.isNotEmpty(),
         modelsByPool = configuration.pools.associate { it.name to it.models },
+        priorityByTeam = configuration.teams.mapNotNull { team -> team.priority?.let { team.name to it } }.toMap(),
+        serverPriorities = serverPrioritiesOf(configuration),
     )
 
 /** Finds the route with the longest matching path prefix; null if no route matches. */
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
@@ -77,6 +77,7 @@
                 lastEvent = task.lastEvent,
                 needsNewConnection = task.isUnanswered,
                 serverStartedWallMilliseconds = chosen.entry.startedWallMilliseconds,
+                priority = taskPriority(job, task),
             ),
         ),
     )
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEffect.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEffect.kt
@@ -16,6 +16,7 @@
      *
      * @property remainingMilliseconds time until the deadline of the request
      * @property scoring the scoring call to send; null for a client request
+     * @property priority priority to state to the server, from 0 (first) to 9; null for the server's default
      */
     public data class Send(
         val request: Long,
@@ -26,6 +27,7 @@
         val remainingMilliseconds: Long,
         val scoring: ScoringCall?,
         val serverStartedWallMilliseconds: Long,
+        val priority: Int? = null,
     ) : TrafficEffect
 
     /** Cancel the current attempt of a request by closing its connection. */
@@ -106,7 +108,7 @@
 
     /**
      * Run a task on an engine, starting with the event after [lastEvent]. [needsNewConnection] is true if the answer
-     * to an earlier attempt was lost, so that the answer to this one has to be received.
+     * to an earlier attempt was lost, so that the answer to this one has to be received. [priority] is as for [Send].
      */
     public data class RunTask(
         val job: String,
@@ -119,6 +121,7 @@
         val lastEvent: Long,
         val needsNewConnection: Boolean = false,
         val serverStartedWallMilliseconds: Long,
+        val priority: Int? = null,
     ) : JobEffect
 
     /** Cancel the current attempt of a task by closing its connection. */
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/BackendRequests.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/BackendRequests.kt
@@ -29,6 +29,7 @@
         team = effect.team,
         remainingMilliseconds = effect.remainingMilliseconds,
         serverStartedWallMilliseconds = effect.serverStartedWallMilliseconds,
+        priority = effect.priority,
     )
 
 internal fun scoringRequest(
@@ -47,6 +48,7 @@
         team = null,
         remainingMilliseconds = effect.remainingMilliseconds,
         serverStartedWallMilliseconds = effect.serverStartedWallMilliseconds,
+        priority = effect.priority,
     )
 
 internal fun taskRequest(effect: TrafficEffect.RunTask): BackendRequest =
@@ -64,4 +66,5 @@
         lastEvent = effect.lastEvent,
         needsNewConnection = effect.needsNewConnection,
         serverStartedWallMilliseconds = effect.serverStartedWallMilliseconds,
+        priority = effect.priority,
     )
