--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DecideTraffic.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DecideTraffic.kt
@@ -109,7 +109,8 @@
     nowMilliseconds: Long,
     wallMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> =
-    expireCarriedTasks(nowMilliseconds)
+    withQueues { it.copy(wallOffsetMilliseconds = wallMilliseconds - nowMilliseconds) }
+        .expireCarriedTasks(nowMilliseconds)
         .expireSuspects(nowMilliseconds)
         .andThen { it.continueRequests(nowMilliseconds) }
         .andThen { it.timeOutIdleTasks(nowMilliseconds) }
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEffect.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEffect.kt
@@ -135,6 +135,11 @@
         val team: String,
     ) : TrafficEffect
 
+    /** Count a decision that was made under load. */
+    public data class CountLoadDecision(
+        val decision: LoadDecision,
+    ) : TrafficEffect
+
     /**
      * Record the reasons for a decision.
      *
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficState.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficState.kt
@@ -20,6 +20,7 @@
  * @property liveInstances instances that are sending heartbeats
  * @property nextInternalRequest number of the next request that this instance originates; counts down from -1 so
  * that it never equals a request number of the front end
+ * @property queues what the order of work and the refusals depend on
  */
 public data class TrafficState(
     val identity: InstanceIdentity,
@@ -38,6 +39,7 @@
     val draining: Boolean = false,
     val nextInternalRequest: Long = -1,
     val lastTakeoverMilliseconds: Long = 0,
+    val queues: QueueState = QueueState(),
 )
 
 /**
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficCounters.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficCounters.kt
@@ -3,6 +3,7 @@
 import io.micrometer.core.instrument.Counter
 import io.micrometer.core.instrument.MeterRegistry
 import io.micrometer.core.instrument.Timer
+import org.mulberrypin.decisions.traffic.LoadDecision
 import java.time.Duration
 import java.util.concurrent.atomic.AtomicInteger
 
@@ -15,6 +16,7 @@
     val tasks: AtomicInteger,
     val requestLatency: Timer,
     val jobCallLatency: Timer,
+    val loadDecisions: Map<LoadDecision, Counter>,
 )
 
 /** Registers the metrics of the traffic duty. */
@@ -27,6 +29,11 @@
         tasks = registry.gauge("mulberrypin_tasks_running", AtomicInteger()),
         requestLatency = latencyHistogram(registry, "mulberrypin_request_latency"),
         jobCallLatency = latencyHistogram(registry, "mulberrypin_job_call_latency"),
+        loadDecisions = mapOf(
+            LoadDecision.YIELDED to registry.counter("mulberrypin_tasks_yielded"),
+            LoadDecision.REFUSED_AT_ONCE to registry.counter("mulberrypin_requests_refused_at_once"),
+            LoadDecision.RETRY_WITHHELD to registry.counter("mulberrypin_retries_withheld"),
+        ),
     )
 
 /** Registers a latency histogram with buckets from the shortest to the longest expected latency. */
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
@@ -215,6 +215,11 @@
                 ports.announceCrashes(crashRecords(effect, ports.clock))
             }
 
+            is TrafficEffect.CountLoadDecision -> {
+                val counter = ports.counters.loadDecisions.getValue(effect.decision)
+                counter.increment()
+            }
+
             is TrafficEffect.RecordDecision -> {
                 ports.log.write(SOURCE, effect.subject, effect.decision, effect.peer, effect.inputs)
             }
