Refuse requests at once that no server can run in time

Nothing was refused for want of room, and a request whose pool had no server waited for a fifth of its objective. A request, or its retry, is now refused at once as not run if its pool is listed without a server to expect, or if recent reports show each usable server busy for longer than the caller waits. A retry after an attempt that may have run is given up if even the shortest run time of late doesn't fit. Retry-After follows the drain rate of the usable servers and the caller's position, spread by its content; it leaves two thirds of the caller's time. Requests that wait for a server are sent by rank, then callers that come back, then by fair shares of teams.

A server without a recent report counts as having room, an unread list of servers and idle pools are treated as before.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DecideTraffic.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DecideTraffic.kt
@@ -4,6 +4,8 @@
 import kotlinx.collections.immutable.PersistentMap
 import org.mulberrypin.decisions.Transition
 import org.mulberrypin.decisions.andThen
+import org.mulberrypin.decisions.requests.retainingTeams
+import org.mulberrypin.schema.generated.ServingConfiguration
 
 /**
  * Applies an event and returns the next state and the effects to perform.
@@ -18,7 +20,7 @@
     wallMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> =
     when (event) {
-        is TrafficEvent.ConfigurationChanged -> Transition(state.copy(routing = routingTableOf(event.configuration)))
+        is TrafficEvent.ConfigurationChanged -> Transition(state.withConfiguration(event.configuration))
         is TrafficEvent.VersionsNamed -> Transition(state.copy(namedVersions = event.versions).withExpectedLoads())
         is TrafficEvent.BackendsChanged -> state.updateBackends(event, nowMilliseconds)
         is TrafficEvent.ServerLeaving -> state.handleServerLeaving(event)
@@ -33,6 +35,12 @@
         TrafficEvent.Tick -> state.tick(nowMilliseconds, wallMilliseconds)
     }
 
+private fun TrafficState.withConfiguration(configuration: ServingConfiguration): TrafficState {
+    val teams = configuration.teams.mapTo(HashSet()) { it.name }
+    return copy(routing = routingTableOf(configuration))
+        .withQueues { it.copy(requestShares = it.requestShares.retainingTeams(teams)) }
+}
+
 private fun TrafficState.decideRequest(
     event: TrafficEvent.RequestEvent,
     nowMilliseconds: Long,
@@ -40,10 +48,16 @@
     when (event) {
         is TrafficEvent.RequestArrived -> handleRequestArrived(event, nowMilliseconds)
         is TrafficEvent.CallerDisconnected -> requests[event.request]?.let(::handleCallerDisconnect) ?: Transition(this)
-        is TrafficEvent.ResponseReceived -> handleResponse(event, nowMilliseconds)
+        is TrafficEvent.ResponseReceived -> observeAndHandle(event, nowMilliseconds)
         is TrafficEvent.AttemptFailed -> handleFailedAttempt(event, nowMilliseconds)
     }
 
+private fun TrafficState.observeAndHandle(
+    event: TrafficEvent.ResponseReceived,
+    nowMilliseconds: Long,
+): Transition<TrafficState, TrafficEffect> =
+    observeResponse(event, nowMilliseconds).handleResponse(event, nowMilliseconds)
+
 private fun TrafficState.decideJob(
     event: TrafficEvent.JobEvent,
     nowMilliseconds: Long,
@@ -111,6 +125,7 @@
 ): Transition<TrafficState, TrafficEffect> =
     withQueues { it.copy(wallOffsetMilliseconds = wallMilliseconds - nowMilliseconds) }
         .expireCarriedTasks(nowMilliseconds)
+        .expireObservations(nowMilliseconds)
         .expireSuspects(nowMilliseconds)
         .andThen { it.continueRequests(nowMilliseconds) }
         .andThen { it.timeOutIdleTasks(nowMilliseconds) }
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardRequests.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardRequests.kt
@@ -37,7 +37,7 @@
             if (request == null) {
                 reject(event, HttpStatusCode.UNAVAILABLE, "the route has no pool")
             } else {
-                startRequest(request, nowMilliseconds)
+                admitRequest(request, nowMilliseconds)
             }
         }
     }
@@ -100,11 +100,11 @@
     return copy(nextInternalRequest = nextInternalRequest - 1).startRequest(request, nowMilliseconds)
 }
 
-private fun TrafficState.startRequest(
+internal fun TrafficState.startRequest(
     request: ForwardedRequest,
     nowMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> =
-    copy(requests = requests.put(request.request, request)).sendRequest(request, nowMilliseconds)
+    copy(requests = requests.put(request.request, request)).sendFirst(request, nowMilliseconds)
 
 internal fun TrafficState.sendRequest(
     request: ForwardedRequest,
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardedRequest.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardedRequest.kt
@@ -28,6 +28,7 @@
  * @property content digest by which crashes are counted; empty for a scoring call
  * @property crashes consecutive attempts of a scoring call, over all its requests, whose connections were lost
  * @property sentMilliseconds time at which the current attempt was sent
+ * @property isReturning true if the caller comes back after a refusal
  */
 public data class ForwardedRequest(
     val request: Long,
@@ -48,4 +49,5 @@
     val content: String = "",
     val crashes: Int = 0,
     val sentMilliseconds: Long = 0,
+    val isReturning: Boolean = false,
 )
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RetryRequests.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RetryRequests.kt
@@ -12,7 +12,9 @@
 ): Boolean {
     val isRetrySafe = request.route.kind == RequestKind.IDEMPOTENT || !request.mayHaveRun
     val isSuspect = request.origin is Origin.Scoring && crashWait(request.crashes) > 0
-    return isRetrySafe && request.attempt < request.route.attemptLimit && !isSuspect &&
+    val isTooLate = request.mayHaveRun && isTooLateToRun(request, nowMilliseconds)
+    val isHopeless = isTooLate || cannotBeInTime(request, nowMilliseconds)
+    return isRetrySafe && request.attempt < request.route.attemptLimit && !isSuspect && !isHopeless &&
         !isHeld(request.content, nowMilliseconds)
 }
 
@@ -21,13 +23,13 @@
     detail: String,
     nowMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> {
+    val mayRetry = canRetry(request, nowMilliseconds)
     val recorded = Transition<TrafficState, TrafficEffect>(
         copy(requests = requests.put(request.request, request)),
         listOf(
             TrafficEffect.RecordDecision(request.id, "attempt failed", request.tried.lastOrNull().orEmpty(), detail),
         ),
     )
-    val mayRetry = canRetry(request, nowMilliseconds)
     return recorded.andThen { state ->
         val sent = if (mayRetry) state.sendRequest(request, nowMilliseconds) else Transition(state)
         when {
@@ -59,17 +61,23 @@
     val origin = request.origin
     if (origin is Origin.Scoring) return done.handleScoringFailure(origin, request, detail, nowMilliseconds)
     val status = request.finalStatus(HttpStatusCode.UNAVAILABLE, nowMilliseconds)
+    val isNotRun = status == HttpStatusCode.UNAVAILABLE
+    val hold = remainingHold(request.content, nowMilliseconds)
+    val turn = if (isNotRun && hold == null) retryAfterMilliseconds(request, nowMilliseconds) else null
+    val retryMilliseconds = hold ?: turn
     val inputs = "$detail; attempts=${request.attempt} mayHaveRun=${request.mayHaveRun} " +
-        "milliseconds=${nowMilliseconds - request.arrivedMilliseconds}"
+        "milliseconds=${nowMilliseconds - request.arrivedMilliseconds} retryAfter=$retryMilliseconds"
     // A failed attempt may have run, and its outcome will stay unknown, so it counts as usage.
     val usage = request.team.takeIf { request.mayHaveRun && !request.isCounted }
-    val announced = done.announceSuspect(request.content)
+    val announced = done
+        .withRefusedCaller(request, turn, nowMilliseconds)
+        .announceSuspect(request.content)
     return Transition(
         announced.state,
         announced.effects + listOfNotNull(
             usage?.let(TrafficEffect::CountUsage),
             TrafficEffect.RecordDecision(request.id, "given up $status", identity.name, inputs),
-            TrafficEffect.Reject(request.request, status, detail, remainingHold(request.content, nowMilliseconds)),
+            TrafficEffect.Reject(request.request, status, detail, retryMilliseconds),
         ),
     )
 }
@@ -94,8 +102,12 @@
 }
 
 /** Ends attempts and requests that have timed out, and sends waiting requests. */
-internal fun TrafficState.continueRequests(nowMilliseconds: Long): Transition<TrafficState, TrafficEffect> =
-    decideEach(requests.values) { state, request -> state.continueRequest(request, nowMilliseconds) }
+internal fun TrafficState.continueRequests(nowMilliseconds: Long): Transition<TrafficState, TrafficEffect> {
+    val waiting = waitingInOrder()
+    return decideEach(requests.values.filter { it.server != null }) { state, request ->
+        state.continueRequest(request, nowMilliseconds)
+    }.andThen { it.decideEach(waiting) { state, request -> state.continueRequest(request, nowMilliseconds) } }
+}
 
 private fun TrafficState.continueRequest(
     request: ForwardedRequest,
@@ -113,7 +125,7 @@
         }
 
         server == null -> {
-            val sent = sendRequest(request, nowMilliseconds)
+            val sent = sendFirst(request, nowMilliseconds)
             if (sent.effects.isNotEmpty()) {
                 sent
             } else {
@@ -138,6 +150,7 @@
     nowMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> {
     val released = copy(backends = backends.updated(server) { it.released().failed(nowMilliseconds) })
+        .withShortage(request.pool, nowMilliseconds)
     val unassigned = request.copy(server = null, mayHaveRun = true, isCounted = true)
     val counted = released.counted(unassigned)
     val cancelled = counted.copy(effects = counted.effects + TrafficEffect.Cancel(request.request))
