Bound the retries that a pool short of room is given

When attempts timed out, each caller's request was sent again, which doubled the load of a pool that was already too slow. A withheld retry is logged and counted, and the caller hears at once.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardRequests.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardRequests.kt
@@ -247,7 +247,7 @@
     val isTrue = request.finalStatus(event.status, nowMilliseconds) == event.status
     val mayRelay = event.status >= HttpStatusCode.REDIRECTION && isTrue && !isScoring
     return if (mayRelay && !canRetry(request, nowMilliseconds)) {
-        finish(request, event, nowMilliseconds)
+        Transition(this, retryWithheld(request, nowMilliseconds)).andThen { it.finish(request, event, nowMilliseconds) }
     } else {
         retryOrFail(request, detail, nowMilliseconds)
     }
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RetryRequests.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RetryRequests.kt
@@ -9,6 +9,12 @@
 internal fun TrafficState.canRetry(
     request: ForwardedRequest,
     nowMilliseconds: Long,
+): Boolean = isRetryUseful(request, nowMilliseconds) && isWithinRetryBudget(request, nowMilliseconds)
+
+/** Whether another attempt is allowed and could still serve the caller. */
+private fun TrafficState.isRetryUseful(
+    request: ForwardedRequest,
+    nowMilliseconds: Long,
 ): Boolean {
     val isRetrySafe = request.route.kind == RequestKind.IDEMPOTENT || !request.mayHaveRun
     val isSuspect = request.origin is Origin.Scoring && crashWait(request.crashes) > 0
@@ -18,6 +24,20 @@
         !isHeld(request.content, nowMilliseconds)
 }
 
+/** What is told of a retry that the budget of its pool does not allow. */
+internal fun TrafficState.retryWithheld(
+    request: ForwardedRequest,
+    nowMilliseconds: Long,
+): List<TrafficEffect> {
+    val isUseful = isRetryUseful(request, nowMilliseconds)
+    if (!isUseful || isWithinRetryBudget(request, nowMilliseconds)) return emptyList()
+    val inputs = "pool=${request.pool} attempt=${request.attempt} mayHaveRun=${request.mayHaveRun}"
+    return listOf(
+        TrafficEffect.RecordDecision(request.id, "retry withheld", request.pool, inputs),
+        TrafficEffect.CountLoadDecision(LoadDecision.RETRY_WITHHELD),
+    )
+}
+
 internal fun TrafficState.retryOrFail(
     request: ForwardedRequest,
     detail: String,
@@ -28,13 +48,13 @@
         copy(requests = requests.put(request.request, request)),
         listOf(
             TrafficEffect.RecordDecision(request.id, "attempt failed", request.tried.lastOrNull().orEmpty(), detail),
-        ),
+        ) + retryWithheld(request, nowMilliseconds),
     )
     return recorded.andThen { state ->
         val sent = if (mayRetry) state.sendRequest(request, nowMilliseconds) else Transition(state)
         when {
             !mayRetry -> state.failRequest(request, detail, nowMilliseconds)
-            sent.effects.isNotEmpty() -> sent
+            sent.effects.isNotEmpty() -> sent.copy(state = sent.state.withRetrySpent(request, nowMilliseconds))
             else -> state.waitOrFail(request, detail, nowMilliseconds)
         }
     }
