--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DecideTraffic.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DecideTraffic.kt
@@ -4,6 +4,8 @@
 import kotlinx.collections.immutable.PersistentMap
 import org.mulberrypin.decisions.Transition
 import org.mulberrypin.decisions.andThen
+import org.mulberrypin.decisions.requests.retainingTeams
+import org.mulberrypin.schema.generated.ServingConfiguration
 
 /**
  * Applies an event and returns the next state and the effects to perform.
@@ -18,7 +20,7 @@
     wallMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> =
     when (event) {
-        is TrafficEvent.ConfigurationChanged -> Transition(state.copy(routing = routingTableOf(event.configuration)))
+        is TrafficEvent.ConfigurationChanged -> Transition(state.withConfiguration(event.configuration))
         is TrafficEvent.VersionsNamed -> Transition(state.copy(namedVersions = event.versions).withExpectedLoads())
         is TrafficEvent.BackendEvent -> state.decideBackends(event, nowMilliseconds)
         is TrafficEvent.CrashRecordsRead -> state.mergeCrashRecords(event.records, nowMilliseconds, wallMilliseconds)
@@ -42,6 +44,12 @@
         is TrafficEvent.DomainsEvacuated -> handleDomainsEvacuated(event.domains, nowMilliseconds)
     }
 
+private fun TrafficState.withConfiguration(configuration: ServingConfiguration): TrafficState {
+    val teams = configuration.teams.mapTo(HashSet()) { it.name }
+    return copy(routing = routingTableOf(configuration))
+        .withQueues { it.copy(requestShares = it.requestShares.retainingTeams(teams)) }
+}
+
 private fun TrafficState.decideRequest(
     event: TrafficEvent.RequestEvent,
     nowMilliseconds: Long,
@@ -49,10 +57,16 @@
     when (event) {
         is TrafficEvent.RequestArrived -> handleRequestArrived(event, nowMilliseconds)
         is TrafficEvent.CallerDisconnected -> requests[event.request]?.let(::handleCallerDisconnect) ?: Transition(this)
-        is TrafficEvent.ResponseReceived -> handleResponse(event, nowMilliseconds)
+        is TrafficEvent.ResponseReceived -> observeAndHandle(event, nowMilliseconds)
         is TrafficEvent.AttemptFailed -> handleFailedAttempt(event, nowMilliseconds)
     }
 
+private fun TrafficState.observeAndHandle(
+    event: TrafficEvent.ResponseReceived,
+    nowMilliseconds: Long,
+): Transition<TrafficState, TrafficEffect> =
+    observeResponse(event, nowMilliseconds).handleResponse(event, nowMilliseconds)
+
 private fun TrafficState.decideJob(
     event: TrafficEvent.JobEvent,
     nowMilliseconds: Long,
@@ -118,7 +132,9 @@
     nowMilliseconds: Long,
     wallMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> =
-    expireCarriedTasks(nowMilliseconds)
+    withQueues { it.copy(wallOffsetMilliseconds = wallMilliseconds - nowMilliseconds) }
+        .expireCarriedTasks(nowMilliseconds)
+        .expireObservations(nowMilliseconds)
         .expireSuspects(nowMilliseconds)
         .andThen { it.continueRequests(nowMilliseconds) }
         .andThen { it.timeOutIdleTasks(nowMilliseconds) }
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardRequests.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardRequests.kt
@@ -37,7 +37,7 @@
             if (request == null) {
                 reject(event, HttpStatusCode.UNAVAILABLE, "the route has no pool")
             } else {
-                startRequest(request, nowMilliseconds)
+                admitRequest(request, nowMilliseconds)
             }
         }
     }
@@ -100,14 +100,14 @@
     return copy(nextInternalRequest = nextInternalRequest - 1).startRequest(request, nowMilliseconds)
 }
 
-private fun TrafficState.startRequest(
+internal fun TrafficState.startRequest(
     request: ForwardedRequest,
     nowMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> =
     if (request.origin == Origin.Caller && isWhollyEvacuated(request.pool)) {
         refuseEvacuated(request)
     } else {
-        copy(requests = requests.put(request.request, request)).sendRequest(request, nowMilliseconds)
+        copy(requests = requests.put(request.request, request)).sendFirst(request, nowMilliseconds)
     }
 
 internal fun TrafficState.sendRequest(
@@ -148,6 +148,7 @@
                 remainingMilliseconds = remaining.coerceAtLeast(1),
                 scoring = scoringOf(request),
                 serverStartedWallMilliseconds = chosen.entry.startedWallMilliseconds,
+                priority = serverPriority(request.route, request.team),
             ),
         ),
     )
@@ -250,7 +251,7 @@
     val isTrue = request.finalStatus(event.status, nowMilliseconds) == event.status
     val mayRelay = event.status >= HttpStatusCode.REDIRECTION && isTrue && !isScoring
     return if (mayRelay && !canRetry(request, nowMilliseconds)) {
-        finish(request, event, nowMilliseconds)
+        Transition(this, retryWithheld(request, nowMilliseconds)).andThen { it.finish(request, event, nowMilliseconds) }
     } else {
         retryOrFail(request, detail, nowMilliseconds)
     }
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficState.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficState.kt
@@ -21,6 +21,7 @@
  * @property evacuatedDomains failure domains whose backend servers the operator lets nothing be sent to
  * @property nextInternalRequest number of the next request that this instance originates; counts down from -1 so
  * that it never equals a request number of the front end
+ * @property queues what the order of work and the refusals depend on
  */
 public data class TrafficState(
     val identity: InstanceIdentity,
@@ -40,6 +41,7 @@
     val draining: Boolean = false,
     val nextInternalRequest: Long = -1,
     val lastTakeoverMilliseconds: Long = 0,
+    val queues: QueueState = QueueState(),
 )
 
 /**
