Choose servers by expected completion

A server was chosen by the occupied share of its slots in eighths, with reports of at most 300 ms, whatever a request costs and however fast the server is. It is chosen now by when the request is expected to be complete there: the wait for a slot, the prompt that is not read yet, the run time of the route or the expected rest of the text at the server's pace, and the round trip of another failure domain or a new connection. Run times, errors of length hints, speeds and usual loads are learned from answers; reports lose trust with age in place of a cliff, and no report makes a server better than usual.

A running text moves by its expected gain, reading it again included, and what it gained is compared with what was expected; forecasts of requests and texts are counted against actual times.

ChooseBackendTest, ChooseEngineTest, ServerWorkTest, TextLengthsTest and the present tests of the traffic decisions pass; no measured effect yet.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/Backend.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/Backend.kt
@@ -1,7 +1,13 @@
-/** Tracks the state of each backend server as seen by this instance, and selects one for a request. */
+/** Tracks the state of each backend server as seen by this instance. */
 package org.mulberrypin.decisions.traffic
 
 import kotlinx.collections.immutable.PersistentMap
+import org.mulberrypin.decisions.work.LoadReport
+import org.mulberrypin.decisions.work.ServerWork
+import org.mulberrypin.decisions.work.answered
+import org.mulberrypin.decisions.work.refused
+import org.mulberrypin.decisions.work.reported
+import org.mulberrypin.decisions.work.sent
 import org.mulberrypin.schema.generated.BackendServerEntry
 
 /**
@@ -11,8 +17,7 @@
  * @property failures consecutive failures
  * @property refusals consecutive tasks that the server refused without running them
  * @property avoidedUntilMilliseconds time until which other backend servers are preferred
- * @property load number of running and queued requests in the last load report
- * @property loadMilliseconds time of the last load report
+ * @property work load, speed and connections of the server, as learned from its answers
  * @property isIsolated true while a task runs on the engine that must not have the company of others
  * @property pace how fast the engine generates the texts of this instance's tasks
  */
@@ -22,8 +27,7 @@
     val failures: Int = 0,
     val refusals: Int = 0,
     val avoidedUntilMilliseconds: Long = 0,
-    val load: Int = 0,
-    val loadMilliseconds: Long = Long.MIN_VALUE / 2,
+    val work: ServerWork = ServerWork(),
     val isIsolated: Boolean = false,
     val pace: EnginePace = EnginePace(),
 )
@@ -58,7 +62,8 @@
 ): PersistentMap<String, Backend> = this[id]?.let { put(id, change(it)) } ?: this
 
 /** Adds a request or task to the in-flight count. */
-internal fun Backend.acquired(): Backend = copy(inFlight = inFlight + 1)
+internal fun Backend.acquired(nowMilliseconds: Long): Backend =
+    copy(inFlight = inFlight + 1, work = work.sent(nowMilliseconds))
 
 /** Removes a request or task from the in-flight count; an isolated task was the only one. */
 internal fun Backend.released(): Backend = copy(inFlight = (inFlight - 1).coerceAtLeast(0), isIsolated = false)
@@ -87,31 +92,21 @@
     return copy(refusals = refusals + 1, avoidedUntilMilliseconds = nowMilliseconds + backoff)
 }
 
-/**
- * Selects a backend server: servers in backoff come last, then the least occupied is preferred, then one in
- * [failureDomain]; a hash of [seed] breaks ties.
- */
-internal fun chooseBackend(
-    candidates: List<Backend>,
-    failureDomain: String,
-    seed: Long,
+/** Removes an answered request or task from the in-flight count, and keeps its connection and the reported load. */
+internal fun Backend.answered(
+    report: LoadReport?,
     nowMilliseconds: Long,
-): Backend? =
-    candidates.minWithOrNull(
-        compareBy<Backend> { it.avoidedUntilMilliseconds > nowMilliseconds }
-            .thenBy { it.occupancy(nowMilliseconds) }
-            .thenBy { it.entry.failureDomain != failureDomain }
-            .thenBy { stableHash(seed, it.entry.id) },
-    )
+): Backend = released().withLoad(report, nowMilliseconds).let { it.copy(work = it.work.answered(nowMilliseconds)) }
 
-/**
- * Occupied share of the slots, rounded down to eighths so that servers of nearly equal load tie and the local failure
- * domain is preferred.
- */
-internal fun Backend.occupancy(nowMilliseconds: Long): Int {
-    val reported = if (nowMilliseconds - loadMilliseconds < MAX_LOAD_AGE_MILLISECONDS) load else 0
-    return maxOf(inFlight, reported) * OCCUPANCY_STEPS / entry.slots.coerceAtLeast(1)
-}
+/** Adds the load reported with an answer, which counts what this instance has in flight there. */
+internal fun Backend.withLoad(
+    report: LoadReport?,
+    nowMilliseconds: Long,
+): Backend = copy(work = work.reported(report, inFlight, nowMilliseconds))
+
+/** Notes that the server's queue was full, and backs off from it. */
+internal fun Backend.refusedRequest(nowMilliseconds: Long): Backend =
+    overloaded(nowMilliseconds).copy(work = work.refused(entry.slots, inFlight, nowMilliseconds))
 
 /** Uniformly distributed hash of [seed] and [name] that is the same on all instances. */
 internal fun stableHash(
@@ -145,12 +140,6 @@
 /** Maximum number of doublings after refusals; keeps the backoff below half of the time that loading weights takes. */
 private const val MAX_REFUSAL_DOUBLINGS = 2
 
-/** Age at which a load report is ignored as outdated, in milliseconds. */
-private const val MAX_LOAD_AGE_MILLISECONDS = 300L
-
-/** Number of levels that occupancy is rounded to. */
-internal const val OCCUPANCY_STEPS: Int = 8
-
 // Prime and offset basis of the 64-bit FNV-1a hash.
 private const val FNV_PRIME = 1_099_511_628_211L
 private const val FNV_OFFSET_BASIS = -3_750_763_034_362_895_579L
--- /dev/null
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ChooseBackend.kt
@@ -0,0 +1,81 @@
+/** Decides which backend server a request is sent to. */
+package org.mulberrypin.decisions.traffic
+
+import org.mulberrypin.decisions.work.Choice
+import org.mulberrypin.decisions.work.ServerCandidate
+import org.mulberrypin.decisions.work.chooseNearlyBest
+import org.mulberrypin.decisions.work.expected
+import org.mulberrypin.decisions.work.expectedCompletion
+import org.mulberrypin.decisions.work.expectedRemaining
+import org.mulberrypin.decisions.work.poolOthers
+
+/**
+ * Selects the backend server at which [request] is expected to be complete first; servers in backoff come last. A hash
+ * of the request picks one of those that are about equal.
+ */
+internal fun TrafficState.chooseBackend(
+    request: ForwardedRequest,
+    nowMilliseconds: Long,
+): Choice<Backend>? {
+    val usable = backends.values.filter {
+        it.entry.pool == request.pool && isUsable(it) && it.entry.id !in request.tried
+    }
+    val ready = usable.filter { it.avoidedUntilMilliseconds <= nowMilliseconds }
+    val candidates = ready.ifEmpty { soonestReady(usable) }.associateBy { candidateOf(it) }
+    val run = runTimes.expected(request.route.name, request.route.objectiveMilliseconds, nowMilliseconds)
+    val others = poolOthers(candidates.keys.toList())
+    val choices = candidates.map { (candidate, backend) ->
+        val queued = if (candidate.inFlight == 0) run else remainingMilliseconds(backend, nowMilliseconds) ?: run
+        Choice(backend, expectedCompletion(candidate, run, queued, others, nowMilliseconds))
+    }
+    val seed = stableHash(request.request, request.id)
+    return chooseNearlyBest(choices) { stableHash(seed, it.entry.id) }
+}
+
+/** The servers whose backoff ends first; one that has just failed is not tried before one that failed long ago. */
+private fun soonestReady(backends: List<Backend>): List<Backend> {
+    val soonest = backends.minOfOrNull { it.avoidedUntilMilliseconds } ?: return emptyList()
+    return backends.filter { it.avoidedUntilMilliseconds == soonest }
+}
+
+internal fun TrafficState.candidateOf(backend: Backend) =
+    ServerCandidate(
+        id = backend.entry.id,
+        slots = backend.entry.slots,
+        inFlight = backend.inFlight,
+        work = backend.work,
+        isLocal = backend.entry.failureDomain == identity.failureDomain,
+    )
+
+/** Mean expected remaining time of this instance's requests and tasks at [backend]; null if it has none there. */
+private fun TrafficState.remainingMilliseconds(
+    backend: Backend,
+    nowMilliseconds: Long,
+): Double? {
+    val server = backend.entry.id
+    val ofRequests = requests.values.filter { it.server == server }.map { request ->
+        val expected = request.expected?.running ?: 0.0
+        maxOf(expected - (nowMilliseconds - request.sentMilliseconds), expected * LEAST_REMAINING_SHARE)
+    }
+    val ofTasks = jobs.values.flatMap { job ->
+        job.tasks.values
+            .filter { it.phase == TaskPhase.RUNNING && it.server == server }
+            .map { remainingMilliseconds(job, it, backend, nowMilliseconds) }
+    }
+    return (ofRequests + ofTasks).takeIf { it.isNotEmpty() }?.average()
+}
+
+/** Expected time until the text of a running task is complete. */
+private fun TrafficState.remainingMilliseconds(
+    job: RunningJob,
+    task: TaskProgress,
+    backend: Backend,
+    nowMilliseconds: Long,
+): Double {
+    val route = routing?.findRoute(job.record.host, task.task.path)?.name.orEmpty()
+    val events = textLengths.expectedRemaining(route, task.lengthHint, task.lastEvent)
+    return events * backend.expectedPace(events, poolPace(listOf(backend), nowMilliseconds), nowMilliseconds)
+}
+
+/** Share of the expected run time that a request which has outrun it is still expected to take. */
+private const val LEAST_REMAINING_SHARE = 0.2
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardRequests.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardRequests.kt
@@ -6,6 +6,7 @@
 
 import org.mulberrypin.decisions.Transition
 import org.mulberrypin.decisions.andThen
+import org.mulberrypin.decisions.work.describe
 import org.mulberrypin.schema.generated.RequestKind
 import org.mulberrypin.schema.generated.ScoringCall
 import org.mulberrypin.schema.generated.ServingRoute
@@ -110,15 +111,8 @@
     request: ForwardedRequest,
     nowMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> {
-    val candidates = backends.values.filter {
-        it.entry.pool == request.pool && isUsable(it) && it.entry.id !in request.tried
-    }
-    val chosen = chooseBackend(
-        candidates,
-        identity.failureDomain,
-        stableHash(request.request, request.id),
-        nowMilliseconds,
-    ) ?: return Transition(this)
+    val choice = chooseBackend(request, nowMilliseconds) ?: return Transition(this)
+    val chosen = choice.candidate
     val remaining = request.deadlineMilliseconds - nowMilliseconds
     val sent = request.copy(
         attempt = request.attempt + 1,
@@ -126,15 +120,17 @@
         tried = request.tried + chosen.entry.id,
         attemptDeadlineMilliseconds = nowMilliseconds + attemptMilliseconds(request, remaining),
         sentMilliseconds = nowMilliseconds,
+        expected = choice.expected,
     )
+    val inputs = sentInputs(sent, chosen, nowMilliseconds)
     val next = copy(
         requests = requests.put(request.request, sent),
-        backends = backends.updated(chosen.entry.id, Backend::acquired),
+        backends = backends.updated(chosen.entry.id) { it.acquired(nowMilliseconds) },
     )
     return Transition(
         next,
         listOf(
-            TrafficEffect.RecordDecision(request.id, "sent", chosen.entry.id, sentInputs(sent, chosen, remaining)),
+            TrafficEffect.RecordDecision(request.id, "sent", chosen.entry.id, inputs),
             TrafficEffect.Send(
                 request = request.request,
                 attempt = sent.attempt,
@@ -152,10 +148,12 @@
 private fun TrafficState.sentInputs(
     request: ForwardedRequest,
     chosen: Backend,
-    remaining: Long,
+    nowMilliseconds: Long,
 ): String =
     "attempt=${request.attempt} route=${request.route.name} configuration=${routing?.version} " +
-        "inFlight=${chosen.inFlight} load=${chosen.load} failures=${chosen.failures} remaining=$remaining"
+        "inFlight=${chosen.inFlight} failures=${chosen.failures} " +
+        "remaining=${request.deadlineMilliseconds - nowMilliseconds} " +
+        "${request.expected?.describe()} ${chosen.work.describe(nowMilliseconds)}"
 
 private fun TrafficState.scoringOf(request: ForwardedRequest): ScoringCall? {
     val origin = request.origin as? Origin.Scoring ?: return null
@@ -182,14 +180,14 @@
     val request = requests[event.request]?.takeIf { it.attempt == event.attempt && it.server != null }
         ?: return Transition(this)
     val server = request.server.orEmpty()
-    val reported = backends.updated(server) { it.released().withReportedLoad(event.load, nowMilliseconds) }
+    val reported = backends.updated(server) { it.answered(event.load, nowMilliseconds) }
     if (!event.notRun && isSuspect(request.content)) {
         return clearSuspect(request.content, nowMilliseconds).andThen { it.handleResponse(event, nowMilliseconds) }
     }
     val executed = request.copy(server = null, crashes = 0, mayHaveRun = true, isCounted = true)
     return when {
         event.notRun -> {
-            val avoided = copy(backends = reported.updated(server) { it.overloaded(nowMilliseconds) })
+            val avoided = copy(backends = reported.updated(server) { it.refusedRequest(nowMilliseconds) })
             avoided.retryOrFail(request.copy(server = null), "status ${event.status}, not run", nowMilliseconds)
         }
 
@@ -200,7 +198,8 @@
         }
 
         else -> {
-            copy(backends = reported.updated(server, Backend::succeeded)).counted(executed).andThen {
+            val succeeded = copy(backends = reported.updated(server, Backend::succeeded))
+            succeeded.learnRun(request, server, nowMilliseconds).andThen { it.counted(executed) }.andThen {
                 it.finish(executed, event, nowMilliseconds)
             }
         }
@@ -221,11 +220,6 @@
     return if (isSuccess) !event.signed else isError
 }
 
-private fun Backend.withReportedLoad(
-    load: Int?,
-    nowMilliseconds: Long,
-): Backend = if (load == null) this else copy(load = load, loadMilliseconds = nowMilliseconds)
-
 /** Counts the request in the usage of its team unless it has already been counted. */
 internal fun TrafficState.counted(request: ForwardedRequest): Transition<TrafficState, TrafficEffect> {
     val isAlreadyCounted = requests[request.request]?.isCounted ?: true
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardedRequest.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardedRequest.kt
@@ -1,5 +1,6 @@
 package org.mulberrypin.decisions.traffic
 
+import org.mulberrypin.decisions.work.ExpectedCompletion
 import org.mulberrypin.schema.generated.ServingRoute
 
 /** Originator of a request, which receives the response. */
@@ -28,6 +29,7 @@
  * @property content digest by which crashes are counted; empty for a scoring call
  * @property crashes consecutive attempts of a scoring call, over all its requests, whose connections were lost
  * @property sentMilliseconds time at which the current attempt was sent
+ * @property expected expected completion of the current attempt, counted from [sentMilliseconds]
  */
 public data class ForwardedRequest(
     val request: Long,
@@ -48,4 +50,5 @@
     val content: String = "",
     val crashes: Int = 0,
     val sentMilliseconds: Long = 0,
+    val expected: ExpectedCompletion? = null,
 )
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/MoveTasks.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/MoveTasks.kt
@@ -1,12 +1,17 @@
 /**
  * Moves running tasks from slow engines to faster ones with free slots. The other engine reads the prompt and the text
- * so far in some tens of milliseconds and resumes after the last event, so a long task gains seconds.
+ * so far and resumes after the last event. A move is worth the time that it is expected to save; what it did save is
+ * measured when the text ends or moves on.
  */
 package org.mulberrypin.decisions.traffic
 
 import org.mulberrypin.decisions.Transition
 import org.mulberrypin.decisions.andThen
 import org.mulberrypin.decisions.decideEach
+import org.mulberrypin.decisions.work.Choice
+import org.mulberrypin.decisions.work.describe
+import org.mulberrypin.decisions.work.expectedRemaining
+import org.mulberrypin.decisions.work.total
 
 /** Moves the tasks that gain most. Waiting tasks have the first claim on slots and are dispatched before. */
 internal fun TrafficState.moveTasks(nowMilliseconds: Long): Transition<TrafficState, TrafficEffect> {
@@ -20,8 +25,10 @@
             .filter { it.server in slowServers && isMovable(it, nowMilliseconds) }
             .map { task -> job.record.id to task }
     }
-    val slowestFirst = movable.sortedByDescending { (_, task) -> paces[task.server] }
-    return decideEach(slowestFirst.take(MAX_MOVES_PER_TICK)) { state, (jobId, task) ->
+    val longestFirst = movable.sortedByDescending { (jobId, task) ->
+        expectedRemainingEvents(jobId, task) * paces.getValue(task.server.orEmpty())
+    }
+    return decideEach(longestFirst.take(MAX_MOVES_PER_TICK)) { state, (jobId, task) ->
         state.moveTask(jobId, task, nowMilliseconds)
     }
 }
@@ -41,13 +48,14 @@
 ): Transition<TrafficState, TrafficEffect> {
     val job = jobs[jobId] ?: return Transition(this)
     val move = findMove(job, task, nowMilliseconds) ?: return Transition(this)
-    val inputs = "lastEvent=${task.lastEvent} pace=${move.sourcePace.toInt()} to=${move.target.entry.id} " +
-        "itsPace=${move.targetPace.toInt()}"
-    val waiting = task.copy(phase = TaskPhase.WAITING)
+    val inputs = "lastEvent=${task.lastEvent} gain=${move.expectation.gainMilliseconds.toLong()} " +
+        "pace=${move.expectation.sourceMilliseconds.toInt()} to=${move.target.candidate.entry.id} " +
+        move.target.expected.describe()
+    val waiting = task.copy(phase = TaskPhase.WAITING, move = move.expectation)
     val released = copy(backends = backends.updated(task.server.orEmpty(), Backend::released)).withTask(job, waiting)
     val cancelled = Transition(
         released,
-        listOf(
+        measureMove(task, nowMilliseconds) + listOf(
             TrafficEffect.RecordDecision(task.task.id, "moved", task.server.orEmpty(), inputs),
             TrafficEffect.CancelTask(jobId, task.task.id),
         ),
@@ -57,37 +65,47 @@
     }
 }
 
-/** A worthwhile move of a task; paces are times between two events in milliseconds. */
+/** A worthwhile move of a task and what it is expected to gain. */
 private data class TaskMove(
-    val target: Backend,
-    val sourcePace: Double,
-    val targetPace: Double,
+    val target: Choice<Backend>,
+    val expectation: MoveExpectation,
 )
 
-/** The fastest engine that could go on with [task], if the task is expected to gain enough there. */
+/** The move of [task] that is expected to gain most; null if none gains enough. */
 private fun TrafficState.findMove(
     job: RunningJob,
     task: TaskProgress,
     nowMilliseconds: Long,
 ): TaskMove? {
     val route = routing?.findRoute(job.record.host, task.task.path) ?: return null
-    val sourcePace = backends[task.server.orEmpty()]?.knownPace(nowMilliseconds) ?: return null
-    return availableEngines(job, route, task, nowMilliseconds)
-        .filter { it.entry.id != task.server && it.refusals == 0 }
-        .mapNotNull { engine -> engine.knownPace(nowMilliseconds)?.let { TaskMove(engine, sourcePace, it) } }
-        .minByOrNull { it.targetPace }
-        ?.takeIf { sourcePace > it.targetPace * MIN_PACE_RATIO }
-        ?.takeIf { expectedRemainingEvents(task) * (sourcePace - it.targetPace) > MIN_GAIN_MILLISECONDS }
+    val source = backends[task.server.orEmpty()] ?: return null
+    val events = expectedRemainingEvents(job.record.id, task)
+    val targets = availableEngines(job, route, task, nowMilliseconds)
+        .filter { it.entry.id != task.server && it.refusals == 0 && it.knownPace(nowMilliseconds) != null }
+    val pool = poolPace(targets, nowMilliseconds)
+    val sourcePace = source.expectedPace(events, pool, nowMilliseconds)
+    return targets
+        .map { Choice(it, expectedText(it, events, unreadTokens(task, hasReadShared = false), pool, nowMilliseconds)) }
+        .minByOrNull { it.expected.total }
+        ?.let { target ->
+            val gain = events * sourcePace - target.expected.total
+            TaskMove(target, MoveExpectation(gain, sourcePace, task.lastEvent, nowMilliseconds))
+        }?.takeIf { it.expectation.gainMilliseconds > MIN_GAIN_MILLISECONDS }
 }
 
-/** Lengths spread over more than a decade, so a text is expected to go on for about as long as it has become. */
-private fun expectedRemainingEvents(task: TaskProgress): Long = maxOf(task.lastEvent, MIN_EXPECTED_EVENTS)
+private fun TrafficState.expectedRemainingEvents(
+    jobId: String,
+    task: TaskProgress,
+): Double {
+    val route = jobs[jobId]?.let { routing?.findRoute(it.record.host, task.task.path) }?.name.orEmpty()
+    return textLengths.expectedRemaining(route, task.lengthHint, task.lastEvent)
+}
 
 /** Ratio of the paces of two engines from which a move is considered; smaller ones are within what a batch does. */
 private const val MIN_PACE_RATIO = 1.2
 
-/** Smallest expected gain of a move, in milliseconds: ten times the time to read the prompt and the text again. */
-private const val MIN_GAIN_MILLISECONDS = 400.0
+/** Smallest expected gain of a move, in milliseconds, so that one of a wrong estimate costs little. */
+private const val MIN_GAIN_MILLISECONDS = 200.0
 
 /** Events that an attempt must have generated before its task is moved. */
 private const val MIN_EVENTS_BEFORE_MOVE = 4L
@@ -95,8 +113,5 @@
 /** Minimum time at one engine, in milliseconds, so that a task does not go to and fro. */
 private const val MIN_MILLISECONDS_BETWEEN_MOVES = 600L
 
-/** Expected remaining events of a text that has only begun. */
-private const val MIN_EXPECTED_EVENTS = 10L
-
 /** Moves in one tick; each changes what the next one is decided on. */
 private const val MAX_MOVES_PER_TICK = 8
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
@@ -3,6 +3,8 @@
 
 import org.mulberrypin.decisions.Transition
 import org.mulberrypin.decisions.andThen
+import org.mulberrypin.decisions.work.Choice
+import org.mulberrypin.decisions.work.describe
 import org.mulberrypin.schema.generated.TaskResult
 
 internal fun TrafficState.withTask(
@@ -44,10 +46,11 @@
 internal fun TrafficState.sendTask(
     job: RunningJob,
     task: TaskProgress,
-    chosen: Backend,
+    choice: Choice<Backend>,
     nowMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> {
     val jobId = job.record.id
+    val chosen = choice.candidate
     val started = task.copy(
         phase = TaskPhase.RUNNING,
         attempt = task.attempt + 1,
@@ -56,12 +59,16 @@
         sentMilliseconds = nowMilliseconds,
         attemptStartEvent = task.lastEvent,
         currentVersion = chosen.versionOf(job.submission.model),
+        expected = choice.expected,
     )
-    val acquired = backends.updated(chosen.entry.id) { it.acquired().copy(isIsolated = task.isIsolated()) }
+    val acquired = backends.updated(chosen.entry.id) {
+        it.acquired(nowMilliseconds).copy(isIsolated = task.isIsolated())
+    }
     val next = withTask(job, started).copy(backends = acquired)
-    val inputs = "attempt=${started.attempt} job=$jobId inFlight=${chosen.inFlight} load=${chosen.load} " +
+    val inputs = "attempt=${started.attempt} job=$jobId inFlight=${chosen.inFlight} " +
         "weights=${started.currentVersion} minimum=${job.submission.minimumVersion} lastEvent=${task.lastEvent} " +
-        "crashes=${task.crashes}"
+        "crashes=${task.crashes} hint=${task.lengthHint} ${choice.expected.describe()} " +
+        chosen.work.describe(nowMilliseconds)
     return Transition(
         next,
         listOf(
@@ -130,7 +137,11 @@
     return if (version < job.submission.minimumVersion) {
         failTaskAttempt(job, started, "weights=$version below the minimum version", nowMilliseconds, cancel = true)
     } else {
-        val accepting = copy(backends = backends.updated(task.server.orEmpty()) { it.copy(refusals = 0) })
+        val accepting = copy(
+            backends = backends.updated(task.server.orEmpty()) {
+                it.copy(refusals = 0).withLoad(event.load, nowMilliseconds)
+            },
+        )
         Transition(accepting.withTask(job, started))
     }
 }
@@ -146,7 +157,8 @@
     val explanation = TrafficEffect.RecordDecision(task.task.id, "attempt failed", server, detail)
     val released = copy(
         backends = backends.updated(server) {
-            if (event.notRun) it.released().refused(nowMilliseconds) else it.released().overloaded(nowMilliseconds)
+            val answered = it.answered(event.load, nowMilliseconds)
+            if (event.notRun) answered.refused(nowMilliseconds) else answered.overloaded(nowMilliseconds)
         },
     )
     val errors = task.errors + if (event.status == HttpStatusCode.INTERNAL_ERROR) 1 else 0
@@ -245,11 +257,13 @@
     task: TaskProgress,
     nowMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> {
-    val released = copy(backends = backends.updated(task.server.orEmpty()) { it.released().succeeded() })
+    val server = task.server.orEmpty()
+    val released = copy(backends = backends.updated(server) { it.answered(null, nowMilliseconds).succeeded() })
     val scoring = task.copy(phase = TaskPhase.SCORING, notBeforeMilliseconds = 0, isTextComplete = true)
     val inputs = "events=${task.lastEvent} weights=${task.versions.sorted()} attempts=${task.attempt}"
-    val explanation = TrafficEffect.RecordDecision(task.task.id, "text complete", task.server.orEmpty(), inputs)
+    val explanation = TrafficEffect.RecordDecision(task.task.id, "text complete", server, inputs)
     return Transition<TrafficState, TrafficEffect>(released.withTask(job, scoring), listOf(explanation))
+        .andThen { it.learnText(job, task, nowMilliseconds) }
         .andThen { it.dispatchIfDue(job.record.id, task.task.id, nowMilliseconds) }
 }
 
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunningJob.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunningJob.kt
@@ -3,6 +3,7 @@
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentListOf
+import org.mulberrypin.decisions.work.ExpectedCompletion
 import org.mulberrypin.schema.generated.JobRecord
 import org.mulberrypin.schema.generated.JobSubmission
 import org.mulberrypin.schema.generated.JobTask
@@ -72,6 +73,8 @@
  * @property isUnanswered true if an attempt got another answer than its own, or none, though its connection was not
  *   lost; until an engine starts a stream or refuses the task
  * @property isTextComplete true once an engine has ended the stream without an error
+ * @property expected expected completion of the current attempt, counted from [sentMilliseconds]
+ * @property move what the last move of the running text was expected to gain; null if it was not moved
  */
 public data class TaskProgress(
     val task: JobTask,
@@ -95,6 +98,8 @@
     val restarts: Int = 0,
     val isUnanswered: Boolean = false,
     val isTextComplete: Boolean = false,
+    val expected: ExpectedCompletion? = null,
+    val move: MoveExpectation? = null,
 )
 
 /**
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEffect.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEffect.kt
@@ -132,6 +132,13 @@
         val team: String,
     ) : TrafficEffect
 
+    /** Count how a time that a choice of a server was based on came out, for the metrics. */
+    public data class MeasureForecast(
+        val kind: ForecastKind,
+        val expectedMilliseconds: Double,
+        val actualMilliseconds: Double,
+    ) : TrafficEffect
+
     /**
      * Record the reasons for a decision.
      *
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEvent.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEvent.kt
@@ -1,5 +1,6 @@
 package org.mulberrypin.decisions.traffic
 
+import org.mulberrypin.decisions.work.LoadReport
 import org.mulberrypin.schema.generated.BackendServerEntry
 import org.mulberrypin.schema.generated.CrashRecord
 import org.mulberrypin.schema.generated.JobRecord
@@ -75,7 +76,7 @@
      *
      * @property notRun true if the backend server states that it did not run the request
      * @property signed true if the response carries the signature of the backend server
-     * @property load running and queued requests reported by the backend server; null if not reported
+     * @property load load reported by the backend server; null if not reported
      * @property connection the connection that the response came over, for the log
      */
     public data class ResponseReceived(
@@ -85,7 +86,7 @@
         val notRun: Boolean,
         val signed: Boolean,
         val signature: String,
-        val load: Int?,
+        val load: LoadReport?,
         val connection: String = "",
     ) : RequestEvent
 
@@ -177,6 +178,7 @@
         val status: Int,
         val notRun: Boolean,
         val version: Long?,
+        val load: LoadReport? = null,
     ) : TaskStreamEvent
 
     /** Events of a task were received. */
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficState.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficState.kt
@@ -2,6 +2,8 @@
 
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
+import org.mulberrypin.decisions.work.RunTimes
+import org.mulberrypin.decisions.work.TextLengths
 import org.mulberrypin.schema.generated.JobRecord
 
 /**
@@ -18,6 +20,8 @@
  * @property suspects contents of client requests under which backend servers crashed, by digest
  * @property loadingServers engines that are expected to load weights now and refuse tasks meanwhile
  * @property liveInstances instances that are sending heartbeats
+ * @property runTimes learned run times of requests, by route
+ * @property textLengths learned lengths of texts in relation to their hints, by route
  * @property nextInternalRequest number of the next request that this instance originates; counts down from -1 so
  * that it never equals a request number of the front end
  */
@@ -36,6 +40,8 @@
     val loadingServers: Set<String> = emptySet(),
     val liveInstances: List<LiveInstance> = emptyList(),
     val draining: Boolean = false,
+    val runTimes: RunTimes = RunTimes(),
+    val textLengths: TextLengths = TextLengths(),
     val nextInternalRequest: Long = -1,
     val lastTakeoverMilliseconds: Long = 0,
 )
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/TaskListener.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/TaskListener.kt
@@ -14,7 +14,10 @@
 ): StreamListener =
     StreamListener(
         onHeaders = { response, version ->
-            onEvent(TrafficEvent.TaskResponseReceived(job, task, attempt, response.status, response.notRun, version))
+            val load = response.load?.let(::loadReport)
+            onEvent(
+                TrafficEvent.TaskResponseReceived(job, task, attempt, response.status, response.notRun, version, load),
+            )
         },
         onEvents = { events ->
             val parts = events.map { TaskEvent(it.id, it.data, it.version) }
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficCounters.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficCounters.kt
@@ -3,6 +3,7 @@
 import io.micrometer.core.instrument.Counter
 import io.micrometer.core.instrument.MeterRegistry
 import io.micrometer.core.instrument.Timer
+import org.mulberrypin.decisions.traffic.ForecastKind
 import java.time.Duration
 import java.util.concurrent.atomic.AtomicInteger
 
@@ -15,6 +16,7 @@
     val tasks: AtomicInteger,
     val requestLatency: Timer,
     val jobCallLatency: Timer,
+    val forecasts: Map<ForecastKind, ForecastCounters>,
 )
 
 /** Registers the metrics of the traffic duty. */
@@ -27,6 +29,7 @@
         tasks = registry.gauge("mulberrypin_tasks_running", AtomicInteger()),
         requestLatency = latencyHistogram(registry, "mulberrypin_request_latency"),
         jobCallLatency = latencyHistogram(registry, "mulberrypin_job_call_latency"),
+        forecasts = forecastCounters(registry),
     )
 
 /** Registers a latency histogram with buckets from the shortest to the longest expected latency. */
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
@@ -166,7 +166,7 @@
                 notRun = response.notRun,
                 signed = !response.signature.isNullOrBlank(),
                 signature = response.signature.orEmpty(),
-                load = response.load?.let { it.running + it.waiting },
+                load = response.load?.let(::loadReport),
                 connection = response.connection,
             ),
         )
@@ -219,6 +219,12 @@
                 ports.log.write(SOURCE, effect.subject, effect.decision, effect.peer, effect.inputs)
             }
 
+            is TrafficEffect.MeasureForecast -> {
+                ports.counters.forecasts
+                    .getValue(effect.kind)
+                    .count(effect)
+            }
+
             is TrafficEffect.JobEffect -> {
                 performJob(effect)
             }
