--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ChooseBackend.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ChooseBackend.kt
@@ -23,9 +23,10 @@
     val ready = usable.filter { it.avoidedUntilMilliseconds <= nowMilliseconds }
     val candidates = ready.ifEmpty { soonestReady(usable) }.associateBy { candidateOf(it) }
     val run = runTimes.expected(request.route.name, request.route.objectiveMilliseconds, nowMilliseconds)
+    val ofPool = poolRunTimes.expected(request.pool, request.route.objectiveMilliseconds, nowMilliseconds)
     val others = poolOthers(candidates.keys.toList())
     val choices = candidates.map { (candidate, backend) ->
-        val queued = if (candidate.inFlight == 0) run else remainingMilliseconds(backend, nowMilliseconds) ?: run
+        val queued = if (candidate.inFlight == 0) ofPool else remainingMilliseconds(backend, nowMilliseconds) ?: ofPool
         Choice(backend, expectedCompletion(candidate, run, queued, others, nowMilliseconds))
     }
     val seed = stableHash(request.request, request.id)
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/LearnCosts.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/LearnCosts.kt
@@ -18,7 +18,11 @@
     val actual = (nowMilliseconds - request.sentMilliseconds).coerceAtLeast(1)
     val route = request.route
     val usual = runTimes.expected(route.name, route.objectiveMilliseconds, nowMilliseconds)
-    val learned = copy(runTimes = runTimes.learned(route.name, usual * actual / expected, nowMilliseconds))
+    val scaled = usual * actual / expected
+    val learned = copy(
+        runTimes = runTimes.learned(route.name, scaled, nowMilliseconds),
+        poolRunTimes = poolRunTimes.learned(request.pool, scaled, nowMilliseconds),
+    )
     // Until the route is known, the difference says nothing about the server.
     val next = if (runTimes.isKnown(route.name, nowMilliseconds)) {
         val updated = backends.updated(server) { it.copy(work = it.work.ran(expected, actual, nowMilliseconds)) }
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficState.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficState.kt
@@ -21,6 +21,7 @@
  * @property loadingServers engines that are expected to load weights now and refuse tasks meanwhile
  * @property liveInstances instances that are sending heartbeats
  * @property runTimes learned run times of requests, by route
+ * @property poolRunTimes learned run times of the requests that a pool gets from this instance, by pool
  * @property textLengths learned lengths of texts in relation to their hints, by route
  * @property nextInternalRequest number of the next request that this instance originates; counts down from -1 so
  * that it never equals a request number of the front end
@@ -41,6 +42,7 @@
     val liveInstances: List<LiveInstance> = emptyList(),
     val draining: Boolean = false,
     val runTimes: RunTimes = RunTimes(),
+    val poolRunTimes: RunTimes = RunTimes(),
     val textLengths: TextLengths = TextLengths(),
     val nextInternalRequest: Long = -1,
     val lastTakeoverMilliseconds: Long = 0,
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/work/TextLengths.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/work/TextLengths.kt
@@ -98,6 +98,9 @@
 /** Events that a text beyond all lengths is expected to go on for at least. */
 private const val FEWEST_EVENTS = 10.0
 
+/** Number of routes whose texts are kept. */
+internal const val MAX_ROUTES: Int = 256
+
 /** Hints that can be meant. */
 private val HINTS = 1L..100_000L
 
--- a/decisions/src/test/kotlin/org/mulberrypin/decisions/work/ServerWorkTest.kt
+++ b/decisions/src/test/kotlin/org/mulberrypin/decisions/work/ServerWorkTest.kt
@@ -62,7 +62,7 @@
     @Test
     fun `learns the run time of a route, which is bounded and forgotten`() {
         val known = (1..1_000L).fold(RunTimes()) { times, route -> times.learned("route-$route", 400.0, route) }
-        expectThat(known.byRoute).hasSize(MAX_ROUTES)
+        expectThat(known.byName).hasSize(MAX_NAMES)
         expectThat(known.expected("route-1000", 100, 1_000)).isEqualTo(400.0)
         expectThat(known.expected("route-1", 100, 1_000)).isEqualTo(20.0)
         expectThat(known.expected("route-1000", 100, 2_000_000)).isEqualTo(20.0)
