--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/work/ExpectRequest.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/work/ExpectRequest.kt
@@ -1,6 +1,9 @@
 /** Estimates when a request would be complete at a server. */
 package org.mulberrypin.decisions.work
 
+import kotlin.math.exp
+import kotlin.math.ln
+
 /**
  * Expected completion of a request with a run time of [runMilliseconds] at a server of the usual speed.
  *
@@ -53,9 +56,12 @@
     milliseconds: Double,
 ): Double {
     val size = slots.coerceAtLeast(1)
-    return (present + 1 - size).coerceAtLeast(0.0) * milliseconds / size
+    return expectedExcess(present + 1 - size) * milliseconds / size
 }
 
+/** Expected positive part of a number that is known to about one: a server that looks nearly full may be full. */
+private fun expectedExcess(excess: Double): Double = if (excess > LARGE_EXCESS) excess else ln(1 + exp(excess))
+
 /** Share by which requests slow each other down: servers that are nearly full take longer for each of them. */
 internal fun crowding(
     present: Double,
@@ -72,6 +78,9 @@
     return distance + connection
 }
 
+/** Excess above which it is positive for certain. */
+private const val LARGE_EXCESS = 30.0
+
 /** Share by which a full server is expected to be slower than an idle one. */
 private const val FULL_SLOWDOWN = 0.3
 
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/work/ObservedLoad.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/work/ObservedLoad.kt
@@ -70,7 +70,7 @@
 private const val SMOOTHING = 0.1
 
 /** Time after which a third of a reported load still holds, in milliseconds: the run time of a few requests. */
-private const val LOAD_LIFETIME_MILLISECONDS = 300.0
+private const val LOAD_LIFETIME_MILLISECONDS = 700.0
 
 /** Time after which a third of a reported slowness still holds, in milliseconds; it changes several times a second. */
 private const val SLOWNESS_LIFETIME_MILLISECONDS = 300.0
