--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ChooseBackend.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ChooseBackend.kt
@@ -21,12 +21,13 @@
         it.entry.pool == request.pool && isUsable(it) && it.entry.id !in request.tried
     }
     val ready = usable.filter { it.avoidedUntilMilliseconds <= nowMilliseconds }
-    val candidates = ready.ifEmpty { soonestReady(usable) }.associateBy { candidateOf(it) }
+    val candidates = ready.ifEmpty { soonestReady(usable) }.map { it to candidateOf(it) }
+    val remaining = remainingMilliseconds(candidates.associate { (it, _) -> it.entry.id to it }, nowMilliseconds)
     val run = runTimes.expected(request.route.name, request.route.objectiveMilliseconds, nowMilliseconds)
     val ofPool = poolRunTimes.expected(request.pool, request.route.objectiveMilliseconds, nowMilliseconds)
-    val others = poolOthers(candidates.keys.toList())
-    val choices = candidates.map { (candidate, backend) ->
-        val queued = if (candidate.inFlight == 0) ofPool else remainingMilliseconds(backend, nowMilliseconds) ?: ofPool
+    val others = poolOthers(candidates.map { it.second })
+    val choices = candidates.map { (backend, candidate) ->
+        val queued = remaining[candidate.id] ?: ofPool
         Choice(backend, expectedCompletion(candidate, run, queued, others, nowMilliseconds))
     }
     val seed = stableHash(request.request, request.id)
@@ -48,22 +49,26 @@
         isLocal = backend.entry.failureDomain == identity.failureDomain,
     )
 
-/** Mean expected remaining time of this instance's requests and tasks at [backend]; null if it has none there. */
+/** Mean expected remaining time of this instance's requests and tasks at each of [servers] that has some. */
 private fun TrafficState.remainingMilliseconds(
-    backend: Backend,
+    servers: Map<String, Backend>,
     nowMilliseconds: Long,
-): Double? {
-    val server = backend.entry.id
-    val ofRequests = requests.values.filter { it.server == server }.map { request ->
+): Map<String, Double> {
+    val remaining = HashMap<String, ArrayList<Double>>()
+    for (request in requests.values) {
+        val server = request.server?.takeIf { it in servers } ?: continue
         val expected = request.expected?.running ?: 0.0
-        maxOf(expected - (nowMilliseconds - request.sentMilliseconds), expected * LEAST_REMAINING_SHARE)
+        val left = maxOf(expected - (nowMilliseconds - request.sentMilliseconds), expected * LEAST_REMAINING_SHARE)
+        remaining.getOrPut(server) { ArrayList() }.add(left)
     }
-    val ofTasks = jobs.values.flatMap { job ->
-        job.tasks.values
-            .filter { it.phase == TaskPhase.RUNNING && it.server == server }
-            .map { remainingMilliseconds(job, it, backend, nowMilliseconds) }
+    for (job in jobs.values) {
+        for (task in job.tasks.values) {
+            val server = task.server?.takeIf { task.phase == TaskPhase.RUNNING }?.let(servers::get) ?: continue
+            val left = remainingMilliseconds(job, task, server, nowMilliseconds)
+            remaining.getOrPut(server.entry.id) { ArrayList() }.add(left)
+        }
     }
-    return (ofRequests + ofTasks).takeIf { it.isNotEmpty() }?.average()
+    return remaining.mapValues { it.value.average() }
 }
 
 /** Expected time until the text of a running task is complete. */
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ChooseEngine.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ChooseEngine.kt
@@ -21,7 +21,9 @@
     task: TaskProgress,
     nowMilliseconds: Long,
 ): Choice<Backend>? {
-    val available = enginesFor(task, availableEngines(job, route, task, nowMilliseconds), nowMilliseconds)
+    val free = enginesFor(task, availableEngines(job, route, task, nowMilliseconds), nowMilliseconds)
+    // An engine that loads weights refuses tasks, so all other engines are filled first.
+    val available = free.filter { it.entry.id !in loadingServers }.ifEmpty { free }
     if (available.isEmpty()) return null
     val groupServers = job.tasks.values
         .filter { it.task.group == task.task.group && it.task.id != task.task.id }
@@ -48,13 +50,12 @@
     val present = expectedPresent(candidate, poolOthers = 0.0, nowMilliseconds)
     val pace = engine.expectedPace(events, poolMilliseconds, nowMilliseconds)
     val running = events * pace * crowding(present, candidate.slots)
-    val loading = if (engine.entry.id in loadingServers) LOADING_MILLISECONDS else 0.0
     return ExpectedCompletion(
         wait = expectedWait(present, candidate.slots, running),
         // The texts that the engine generates pause while it reads.
         reading = unread / TOKENS_READ_PER_MILLISECOND * (1 + present),
         running = running,
-        preference = preferenceMilliseconds(candidate, nowMilliseconds) + loading,
+        preference = preferenceMilliseconds(candidate, nowMilliseconds),
     )
 }
 
@@ -104,6 +105,3 @@
 /** Share of the prompt that a group has in common if its tasks do not state it. */
 private const val UNKNOWN_SHARED_PERCENT = 90
 private const val PERCENT = 100
-
-/** Penalty of an engine that is expected to load weights, in milliseconds: all other engines are filled first. */
-private const val LOADING_MILLISECONDS = 600_000.0
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/MoveTasks.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/MoveTasks.kt
@@ -81,7 +81,8 @@
     val source = backends[task.server.orEmpty()] ?: return null
     val events = expectedRemainingEvents(job.record.id, task)
     val targets = availableEngines(job, route, task, nowMilliseconds)
-        .filter { it.entry.id != task.server && it.refusals == 0 && it.knownPace(nowMilliseconds) != null }
+        .filter { it.entry.id != task.server && it.entry.id !in loadingServers && it.refusals == 0 }
+        .filter { it.knownPace(nowMilliseconds) != null }
     val pool = poolPace(targets, nowMilliseconds)
     val sourcePace = source.expectedPace(events, pool, nowMilliseconds)
     return targets
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/work/TextLengths.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/work/TextLengths.kt
@@ -50,11 +50,12 @@
     produced: Long,
 ): Double {
     val shares = byRoute[route]?.shares ?: unknownShares
+    val usable = usableHint(hint)
     var weight = OUTRUN_SHARE
     // Lengths spread over more than a decade, so a text beyond all others goes on for about as long as it has become.
     var total = OUTRUN_SHARE * maxOf(produced.toDouble(), FEWEST_EVENTS)
     shares.forEachIndexed { index, share ->
-        val length = usableHint(hint) * ratioOf(index)
+        val length = usable * ratios[index]
         if (length > produced) {
             weight += share
             total += share * (length - produced)
@@ -74,8 +75,6 @@
 private fun stepOf(ratio: Double): Int =
     ((log2(ratio) * STEPS_PER_OCTAVE).roundToInt() - LOWEST_STEP).coerceIn(0, STEPS - 1)
 
-private fun ratioOf(index: Int): Double = 2.0.pow((index + LOWEST_STEP) / STEPS_PER_OCTAVE)
-
 /** Weight of a new text; the shares follow the last fifty texts of a route. */
 private const val SMOOTHING = 0.02
 
@@ -87,6 +86,9 @@
 /** Number of ratios that are told apart, up to sixteen. */
 private const val STEPS = 17
 
+/** Ratios of length and hint that are told apart. */
+private val ratios: DoubleArray = DoubleArray(STEPS) { 2.0.pow((it + LOWEST_STEP) / STEPS_PER_OCTAVE) }
+
 /** Shares of a route without a complete text: centred on the hint, an octave wide to both sides. */
 private val unknownShares: List<Double> = (0 until STEPS)
     .map { 2.0.pow(-((it + LOWEST_STEP) / STEPS_PER_OCTAVE).pow(2)) }
