--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardedRequest.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardedRequest.kt
@@ -1,5 +1,6 @@
 package org.mulberrypin.decisions.traffic
 
+import org.mulberrypin.decisions.work.ExpectedCompletion
 import org.mulberrypin.schema.generated.ServingRoute
 
 /** Originator of a request, which receives the response. */
@@ -29,6 +30,7 @@
  * @property crashes consecutive attempts of a scoring call, over all its requests, whose connections were lost
  * @property sentMilliseconds time at which the current attempt was sent
  * @property isReturning true if the caller comes back after a refusal
+ * @property expected expected completion of the current attempt, counted from [sentMilliseconds]
  */
 public data class ForwardedRequest(
     val request: Long,
@@ -50,4 +52,5 @@
     val crashes: Int = 0,
     val sentMilliseconds: Long = 0,
     val isReturning: Boolean = false,
+    val expected: ExpectedCompletion? = null,
 )
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ObservePools.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ObservePools.kt
@@ -20,7 +20,8 @@
     val isOtherServer = event.status == HttpStatusCode.MISDIRECTED
     return when {
         !event.notRun -> withPressure(request.pool) {
-            it.withRun(runMilliseconds(request, event.load ?: 0, nowMilliseconds), nowMilliseconds)
+            val load = event.load?.let { report -> report.running + report.waiting } ?: 0
+            it.withRun(runMilliseconds(request, load, nowMilliseconds), nowMilliseconds)
         }
 
         isOtherServer -> this
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RefuseRequests.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RefuseRequests.kt
@@ -78,12 +78,12 @@
     runMilliseconds: Double,
     nowMilliseconds: Long,
 ): Double? {
-    val isReported = nowMilliseconds - loadMilliseconds <= MAX_REPORT_AGE_MILLISECONDS
+    val report = work.observed?.takeIf { nowMilliseconds - it.reportedMilliseconds <= MAX_REPORT_AGE_MILLISECONDS }
     val isRefusing = avoidedUntilMilliseconds > nowMilliseconds && failures == 0
     val slots = entry.slots.coerceAtLeast(1)
-    val ahead = (maxOf(load, inFlight) + 1 - slots).coerceAtLeast(0)
+    val ahead = ((report?.others ?: 0.0) + inFlight + 1 - slots).coerceAtLeast(0.0)
     return when {
-        isReported -> maxOf(ahead * runMilliseconds / slots, if (isRefusing) runMilliseconds else 0.0)
+        report != null -> maxOf(ahead * runMilliseconds / slots, if (isRefusing) runMilliseconds else 0.0)
         isRefusing -> runMilliseconds
         else -> null
     }
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficState.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficState.kt
@@ -2,6 +2,8 @@
 
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
+import org.mulberrypin.decisions.work.RunTimes
+import org.mulberrypin.decisions.work.TextLengths
 import org.mulberrypin.schema.generated.JobRecord
 
 /**
@@ -19,6 +21,9 @@
  * @property loadingServers engines that are expected to load weights now and refuse tasks meanwhile
  * @property liveInstances instances that are sending heartbeats
  * @property evacuatedDomains failure domains whose backend servers the operator lets nothing be sent to
+ * @property runTimes learned run times of requests, by route
+ * @property poolRunTimes learned run times of the requests that a pool gets from this instance, by pool
+ * @property textLengths learned lengths of texts in relation to their hints, by route
  * @property nextInternalRequest number of the next request that this instance originates; counts down from -1 so
  * that it never equals a request number of the front end
  * @property queues what the order of work and the refusals depend on
@@ -39,6 +44,9 @@
     val liveInstances: List<LiveInstance> = emptyList(),
     val evacuatedDomains: Set<String> = emptySet(),
     val draining: Boolean = false,
+    val runTimes: RunTimes = RunTimes(),
+    val poolRunTimes: RunTimes = RunTimes(),
+    val textLengths: TextLengths = TextLengths(),
     val nextInternalRequest: Long = -1,
     val lastTakeoverMilliseconds: Long = 0,
     val queues: QueueState = QueueState(),
--- a/decisions/src/test/kotlin/org/mulberrypin/decisions/traffic/RefuseRequestsTest.kt
+++ b/decisions/src/test/kotlin/org/mulberrypin/decisions/traffic/RefuseRequestsTest.kt
@@ -1,6 +1,7 @@
 package org.mulberrypin.decisions.traffic
 
 import org.junit.jupiter.api.Test
+import org.mulberrypin.decisions.work.LoadReport
 import org.mulberrypin.schema.generated.RequestKind
 import org.mulberrypin.schema.generated.ServingTeam
 import strikt.api.expectThat
@@ -148,7 +149,9 @@
         server: String,
         load: Int,
     ) {
-        val reporting = state.backends.updated(server) { it.copy(load = load, loadMilliseconds = nowMilliseconds) }
+        val reporting = state.backends.updated(server) {
+            it.withLoad(LoadReport(running = load, waiting = 0, slots = it.entry.slots), nowMilliseconds)
+        }
         state = state.copy(backends = reporting)
     }
 
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficCounters.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficCounters.kt
@@ -3,6 +3,7 @@
 import io.micrometer.core.instrument.Counter
 import io.micrometer.core.instrument.MeterRegistry
 import io.micrometer.core.instrument.Timer
+import org.mulberrypin.decisions.traffic.ForecastKind
 import org.mulberrypin.decisions.traffic.LoadDecision
 import java.time.Duration
 import java.util.concurrent.atomic.AtomicInteger
@@ -18,6 +19,7 @@
     val requestLatency: Timer,
     val jobCallLatency: Timer,
     val loadDecisions: Map<LoadDecision, Counter>,
+    val forecasts: Map<ForecastKind, ForecastCounters>,
 )
 
 /** Registers the metrics of the traffic duty. */
@@ -36,6 +38,7 @@
             LoadDecision.REFUSED_AT_ONCE to registry.counter("mulberrypin_requests_refused_at_once"),
             LoadDecision.RETRY_WITHHELD to registry.counter("mulberrypin_retries_withheld"),
         ),
+        forecasts = forecastCounters(registry),
     )
 
 /** Registers a latency histogram with buckets from the shortest to the longest expected latency. */
