Order tasks by expected events, with the scale of hints learned

Cause: a trainer's hint counts tokens, an event holds many of them. The order of work subtracted events from tokens, and the learned errors of hints ended at a sixteenth, so that every text looked far longer than it was and each group late. Change: the number of tokens in an event is learned by route from complete texts, the first at once; the order of work, the choice of an engine and moves use the same expected events. The new test of TextLengthsTest was not run against the code before.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/ordering/JobOrder.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/ordering/JobOrder.kt
@@ -16,5 +16,5 @@
 public data class RankedTask(
     val task: String,
     val standing: GroupStanding,
-    val remainingTokens: Long,
+    val remainingEvents: Long,
 )
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/ordering/RankTasks.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/ordering/RankTasks.kt
@@ -23,13 +23,13 @@
             .thenBy { it.group.isLate }
             .thenBy { !it.group.mayBeReturned }
             .thenBy { !it.cannotWait(outlook, queueMilliseconds) }
-            .thenBy { if (it.group.mayBeReturned) 0 else it.group.longestTokens }
+            .thenBy { if (it.group.mayBeReturned) 0 else it.group.longestEvents }
             .thenBy { it.group.position }
-            .thenByDescending { it.member.remainingTokens },
+            .thenByDescending { it.member.remainingEvents },
     )
     return JobOrder(
         standings = groups.associate { it.name to it.standing },
-        tasks = ordered.map { RankedTask(it.member.task, it.group.standing, it.member.remainingTokens) },
+        tasks = ordered.map { RankedTask(it.member.task, it.group.standing, it.member.remainingEvents) },
     )
 }
 
@@ -37,14 +37,14 @@
  * A group of a job.
  *
  * @property position place of the group in the submission
- * @property longestTokens expected remaining tokens of the group's longest text
+ * @property longestEvents expected remaining events of the group's longest text
  * @property isLate true if that text can't be complete when the results are due
  */
 private data class Group(
     val name: String,
     val position: Int,
     val members: List<GroupMember>,
-    val longestTokens: Long,
+    val longestEvents: Long,
     val isLate: Boolean,
     val mayBeReturned: Boolean,
     val standing: GroupStanding = GroupStanding.COUNTS,
@@ -63,31 +63,31 @@
         .groupBy { it.group }
         .entries
         .mapIndexed { position, (name, tasks) ->
-            val longest = tasks.maxOf { it.remainingTokens }
+            val longest = tasks.maxOf { it.remainingEvents }
             Group(
                 name = name,
                 position = position,
                 members = tasks,
-                longestTokens = longest,
+                longestEvents = longest,
                 isLate = isLate(longest, outlook),
                 mayBeReturned = position < outlook.wantedGroups / 2,
             )
         }
     val wanted = if (outlook.wantedGroups > 0) outlook.wantedGroups else groups.size
     val (returned, others) = groups.partition { it.mayBeReturned }
-    val nearestFirst = others.sortedWith(compareBy({ it.isLate }, { it.longestTokens }, { it.position }))
+    val nearestFirst = others.sortedWith(compareBy({ it.isLate }, { it.longestEvents }, { it.position }))
     val counting = returned + nearestFirst.take((wanted - returned.size).coerceAtLeast(0))
-    val rest = if (counting.all { it.longestTokens == 0L }) GroupStanding.YIELDS else GroupStanding.SPARE
+    val rest = if (counting.all { it.longestEvents == 0L }) GroupStanding.YIELDS else GroupStanding.SPARE
     val countingPositions = counting.mapTo(HashSet()) { it.position }
     return groups.map { if (it.position in countingPositions) it else it.copy(standing = rest) }
 }
 
 private fun isLate(
-    tokens: Long,
+    events: Long,
     outlook: JobOutlook,
 ): Boolean {
     val timeLeft = outlook.timeLeftMilliseconds ?: return false
-    return tokens > 0 && tokens * (outlook.tokenMilliseconds ?: 0.0) > timeLeft
+    return events > 0 && events * (outlook.eventMilliseconds ?: 0.0) > timeLeft
 }
 
 /** Time until the last of the tasks that count would start if they started in any order. */
@@ -95,8 +95,8 @@
     waiting: List<WaitingMember>,
     outlook: JobOutlook,
 ): Double {
-    val tokens = waiting.filter { it.group.standing == GroupStanding.COUNTS }.sumOf { it.member.remainingTokens }
-    return tokens * (outlook.tokenMilliseconds ?: 0.0) / outlook.slots.coerceAtLeast(1)
+    val events = waiting.filter { it.group.standing == GroupStanding.COUNTS }.sumOf { it.member.remainingEvents }
+    return events * (outlook.eventMilliseconds ?: 0.0) / outlook.slots.coerceAtLeast(1)
 }
 
 /** Whether the text would be late if its task started after the others that count. */
@@ -105,6 +105,6 @@
     queueMilliseconds: Double,
 ): Boolean {
     val timeLeft = outlook.timeLeftMilliseconds ?: return false
-    val runMilliseconds = member.remainingTokens * (outlook.tokenMilliseconds ?: 0.0)
+    val runMilliseconds = member.remainingEvents * (outlook.eventMilliseconds ?: 0.0)
     return !group.isLate && runMilliseconds + queueMilliseconds > timeLeft
 }
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/ordering/WorkShares.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/ordering/WorkShares.kt
@@ -1,5 +1,5 @@
 /**
- * Divides slots between flows of work by start-time fair queueing: the work of a flow is counted in expected tokens,
+ * Divides slots between flows of work by start-time fair queueing: the work of a flow is counted in expected events,
  * and the flow that has got the least goes first among those of the best rank and standing. Flows of another rank or
  * standing that have had no slot for a while share every fourth slot, so that none starves.
  */
@@ -49,14 +49,14 @@
     }
 }
 
-/** Charges [tokens] to the flow that has got a slot. */
+/** Charges [events] to the flow that has got a slot. */
 public fun WorkShares.withServed(
     turn: FlowTurn,
-    tokens: Long,
+    events: Long,
     nowMilliseconds: Long,
 ): WorkShares =
     WorkShares(
-        shares = shares.charged(turn.flow, tokens, weight = 1.0),
+        shares = shares.charged(turn.flow, events, weight = 1.0),
         unservedSince = unservedSince.put(turn.flow, nowMilliseconds),
         servedInTurn = if (turn.isOverdue) 0 else minOf(servedInTurn + 1, SLOTS_IN_TURN),
     )
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ChooseBackend.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ChooseBackend.kt
@@ -6,7 +6,6 @@
 import org.mulberrypin.decisions.work.chooseNearlyBest
 import org.mulberrypin.decisions.work.expected
 import org.mulberrypin.decisions.work.expectedCompletion
-import org.mulberrypin.decisions.work.expectedRemaining
 import org.mulberrypin.decisions.work.poolOthers
 
 /**
@@ -78,8 +77,7 @@
     backend: Backend,
     nowMilliseconds: Long,
 ): Double {
-    val route = routing?.findRoute(job.record.host, task.task.path)?.name.orEmpty()
-    val events = textLengths.expectedRemaining(route, task.lengthHint, task.lastEvent)
+    val events = expectedRemainingEvents(job, task).toDouble()
     return events * backend.expectedPace(events, poolPace(listOf(backend), nowMilliseconds), nowMilliseconds)
 }
 
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ChooseEngine.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ChooseEngine.kt
@@ -6,7 +6,6 @@
 import org.mulberrypin.decisions.work.chooseNearlyBest
 import org.mulberrypin.decisions.work.crowding
 import org.mulberrypin.decisions.work.expectedPresent
-import org.mulberrypin.decisions.work.expectedRemaining
 import org.mulberrypin.decisions.work.expectedWait
 import org.mulberrypin.decisions.work.preferenceMilliseconds
 import org.mulberrypin.schema.generated.ServingRoute
@@ -29,7 +28,7 @@
         .filter { it.task.group == task.task.group && it.task.id != task.task.id }
         .mapNotNullTo(HashSet()) { it.server }
     val pace = poolPace(available, nowMilliseconds)
-    val events = textLengths.expectedRemaining(route.name, task.lengthHint, task.lastEvent)
+    val events = expectedRemainingEvents(job, task).toDouble()
     val choices = available.map { engine ->
         val unread = unreadTokens(task, engine.entry.id in groupServers)
         Choice(engine, expectedText(engine, events, unread, pace, nowMilliseconds))
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DispatchTasks.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DispatchTasks.kt
@@ -39,18 +39,18 @@
 /**
  * Dispatches tasks that are waiting for an engine or for their scoring call.
  *
- * @param expectedTokens expected remaining tokens of a task's text
+ * @param expectedEvents expected remaining events of a task's text
  */
 internal fun TrafficState.dispatchTasks(
     nowMilliseconds: Long,
-    expectedTokens: (TaskProgress) -> Long = ::expectedRemainingTokens,
+    expectedEvents: (RunningJob, TaskProgress) -> Long = ::expectedRemainingEvents,
 ): Transition<TrafficState, TrafficEffect> {
     val oldestFirst = jobs.values.sortedBy { it.record.submittedWallMilliseconds }
     return if (hasRoomForAll(nowMilliseconds)) {
         withWorkShares { it.withWaiting(emptySet(), openFlows(), nowMilliseconds) }
             .dispatchAsSubmitted(oldestFirst, nowMilliseconds)
     } else {
-        dispatchScorings(oldestFirst, nowMilliseconds).andThen { it.dispatchInOrder(nowMilliseconds, expectedTokens) }
+        dispatchScorings(oldestFirst, nowMilliseconds).andThen { it.dispatchInOrder(nowMilliseconds, expectedEvents) }
     }
 }
 
@@ -93,9 +93,9 @@
 /** Gives one slot after the other to the flow that is next, until no waiting task finds an engine. */
 private fun TrafficState.dispatchInOrder(
     nowMilliseconds: Long,
-    expectedTokens: (TaskProgress) -> Long,
+    expectedEvents: (RunningJob, TaskProgress) -> Long,
 ): Transition<TrafficState, TrafficEffect> {
-    val ranked = rankedJobs(nowMilliseconds, expectedTokens)
+    val ranked = rankedJobs(nowMilliseconds, expectedEvents)
     val waiting = waitingTasksByFlow(ranked)
     var result = Transition<TrafficState, TrafficEffect>(
         withWorkShares { it.withWaiting(waiting.keys, openFlows(), nowMilliseconds) },
@@ -120,7 +120,7 @@
     return result.andThen { it.yieldSlots(ranked, unplaced, nowMilliseconds) }
 }
 
-/** Dispatches a task whose flow has its [turn], and charges the expected tokens to the flow if it got an engine. */
+/** Dispatches a task whose flow has its [turn], and charges the expected events to the flow if it got an engine. */
 internal fun TrafficState.dispatchQueued(
     task: QueuedTask,
     turn: FlowTurn,
@@ -128,7 +128,7 @@
 ): Transition<TrafficState, TrafficEffect> {
     val dispatched = dispatchIfDue(task.job, task.task, nowMilliseconds)
     if (dispatched.state.isWaiting(task)) return dispatched
-    val charged = dispatched.state.withWorkShares { it.withServed(turn, task.remainingTokens, nowMilliseconds) }
+    val charged = dispatched.state.withWorkShares { it.withServed(turn, task.remainingEvents, nowMilliseconds) }
     return dispatched.copy(state = charged)
 }
 
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/MoveTasks.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/MoveTasks.kt
@@ -10,7 +10,6 @@
 import org.mulberrypin.decisions.decideEach
 import org.mulberrypin.decisions.work.Choice
 import org.mulberrypin.decisions.work.describe
-import org.mulberrypin.decisions.work.expectedRemaining
 import org.mulberrypin.decisions.work.total
 
 /** Moves the tasks that gain most. Waiting tasks have the first claim on slots and are dispatched before. */
@@ -23,13 +22,13 @@
     val movable = jobs.values.flatMap { job ->
         job.tasks.values
             .filter { it.server in slowServers && isMovable(it, nowMilliseconds) }
-            .map { task -> job.record.id to task }
+            .map { task -> job to task }
     }
-    val longestFirst = movable.sortedByDescending { (jobId, task) ->
-        expectedRemainingEvents(jobId, task) * paces.getValue(task.server.orEmpty())
+    val longestFirst = movable.sortedByDescending { (job, task) ->
+        expectedRemainingEvents(job, task) * paces.getValue(task.server.orEmpty())
     }
-    return decideEach(longestFirst.take(MAX_MOVES_PER_TICK)) { state, (jobId, task) ->
-        state.moveTask(jobId, task, nowMilliseconds)
+    return decideEach(longestFirst.take(MAX_MOVES_PER_TICK)) { state, (job, task) ->
+        state.moveTask(job.record.id, task, nowMilliseconds)
     }
 }
 
@@ -79,7 +78,7 @@
 ): TaskMove? {
     val route = routing?.findRoute(job.record.host, task.task.path) ?: return null
     val source = backends[task.server.orEmpty()] ?: return null
-    val events = expectedRemainingEvents(job.record.id, task)
+    val events = expectedRemainingEvents(job, task).toDouble()
     val targets = availableEngines(job, route, task, nowMilliseconds)
         .filter { it.entry.id != task.server && it.entry.id !in loadingServers && it.refusals == 0 }
         .filter { it.knownPace(nowMilliseconds) != null }
@@ -94,14 +93,6 @@
         }?.takeIf { it.expectation.gainMilliseconds > MIN_GAIN_MILLISECONDS }
 }
 
-private fun TrafficState.expectedRemainingEvents(
-    jobId: String,
-    task: TaskProgress,
-): Double {
-    val route = jobs[jobId]?.let { routing?.findRoute(it.record.host, task.task.path) }?.name.orEmpty()
-    return textLengths.expectedRemaining(route, task.lengthHint, task.lastEvent)
-}
-
 /** Ratio of the paces of two engines from which a move is considered; smaller ones are within what a batch does. */
 private const val MIN_PACE_RATIO = 1.2
 
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/QueuedTask.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/QueuedTask.kt
@@ -21,7 +21,7 @@
     val isVersionBound: Boolean,
     val isAlone: Boolean,
     val standing: GroupStanding,
-    val remainingTokens: Long,
+    val remainingEvents: Long,
 )
 
 internal fun QueuedTask.waitingFlow(): WaitingFlow = WaitingFlow(flow, rank, standing)
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RankJobs.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RankJobs.kt
@@ -10,16 +10,16 @@
 /** The jobs of this instance, the oldest first. */
 internal fun TrafficState.rankedJobs(
     nowMilliseconds: Long,
-    expectedTokens: (TaskProgress) -> Long,
+    expectedEvents: (RunningJob, TaskProgress) -> Long,
 ): List<RankedJob> =
     jobs.values
         .sortedBy { it.record.submittedWallMilliseconds }
-        .map { rankedJob(it, nowMilliseconds, expectedTokens) }
+        .map { rankedJob(it, nowMilliseconds, expectedEvents) }
 
 private fun TrafficState.rankedJob(
     job: RunningJob,
     nowMilliseconds: Long,
-    expectedTokens: (TaskProgress) -> Long,
+    expectedEvents: (RunningJob, TaskProgress) -> Long,
 ): RankedJob {
     val members = job.submission.tasks.mapNotNull { task ->
         job.tasks[task.id]?.let { progress ->
@@ -27,7 +27,7 @@
             GroupMember(
                 task = task.id,
                 group = task.group,
-                remainingTokens = expectedTokens(progress),
+                remainingEvents = expectedEvents(job, progress),
                 isWaiting = progress.phase == TaskPhase.WAITING && isDue,
             )
         }
@@ -61,7 +61,7 @@
         isVersionBound = route?.singleWeightVersion == true && progress.versions.isNotEmpty(),
         isAlone = progress.isIsolated(),
         standing = ranked.standing,
-        remainingTokens = ranked.remainingTokens,
+        remainingEvents = ranked.remainingEvents,
     )
 }
 
@@ -96,7 +96,7 @@
     return JobOutlook(
         wantedGroups = job.submission.wantedGroups,
         timeLeftMilliseconds = if (due > 0) due - age else null,
-        tokenMilliseconds = engines.mapNotNull { it.knownPace(nowMilliseconds) }.minOrNull(),
+        eventMilliseconds = engines.mapNotNull { it.knownPace(nowMilliseconds) }.minOrNull(),
         slots = engines.sumOf { it.entry.slots },
     )
 }
--- a/decisions/src/test/kotlin/org/mulberrypin/decisions/work/TextLengthsTest.kt
+++ b/decisions/src/test/kotlin/org/mulberrypin/decisions/work/TextLengthsTest.kt
@@ -38,6 +38,19 @@
         expectThat(learned.expectedRemaining("sort", hint, 0)).isIn(8.0..20.0)
     }
 
+    @Test
+    fun `learns from the first texts how many tokens of a hint an event holds`() {
+        val first = TextLengths().learned("sort", 640, 10, 0)
+        expectThat(first.expectedRemaining("sort", 640, 0)).isIn(8.0..20.0)
+        val random = Random(1)
+        val lengths = (1..100).fold(first) { known, _ ->
+            val events = random.nextLong(5, 40)
+            known.learned("sort", events * 64, events, 0)
+        }
+        expectThat(lengths.expectedRemaining("sort", 1_920, 0)).isIn(25.0..40.0)
+        expectThat(lengths.expectedRemaining("sort", 1_920, 20)).isIn(8.0..20.0)
+    }
+
     @Test
     fun `keeps a bounded number of routes, the newest of them`() {
         val lengths = (1..1_000L).fold(TextLengths()) { known, route -> known.learned("route-$route", 10, 40, route) }
