Bound the requests that cold servers get, and let servers that return start slowly

Cause: a server that has just started crashes at a rate well above what its pool states, and nothing in the code knew of it; a server or a failure domain that returned was turned to by all at once. Change: the cold figures of pools, entries, settings and responses are decoded. While a server is cold, only two instances hold a share of half the budget of its lifetime each; a share is claimed by one conditional write, never given out again and counted at every send of a request, task or scoring call. A lifetime that appears is cold for its pool's time whatever the clocks say. Shares rest after a pause and after a restart of their holder. A server that appears, and a domain whose evacuation is taken back, take a growing part of their slots. Only pools with cold figures and domains that were evacuated are concerned.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ChooseEngine.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ChooseEngine.kt
@@ -40,7 +40,7 @@
     val pools = route.pools.mapTo(HashSet()) { it.pool }
     val model = job.submission.model
     return backends.values.filter { backend ->
-        backend.entry.pool in pools && isUsable(backend) &&
+        backend.entry.pool in pools && isUsable(backend, nowMilliseconds) &&
             backend.versionOf(model) >= job.submission.minimumVersion &&
             matchesVersion(route, task, backend.versionOf(model)) &&
             backend.inFlight < backend.entry.slots && !backend.isIsolated &&
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DecideTraffic.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DecideTraffic.kt
@@ -4,6 +4,7 @@
 import kotlinx.collections.immutable.PersistentMap
 import org.mulberrypin.decisions.Transition
 import org.mulberrypin.decisions.andThen
+import org.mulberrypin.decisions.cold.withEntries
 
 /**
  * Applies an event and returns the next state and the effects to perform.
@@ -18,27 +19,65 @@
     wallMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> =
     when (event) {
-        is TrafficEvent.ConfigurationChanged -> Transition(state.copy(routing = routingTableOf(event.configuration)))
-        is TrafficEvent.VersionsNamed -> Transition(state.copy(namedVersions = event.versions).withExpectedLoads())
-        is TrafficEvent.BackendEvent -> state.decideBackends(event, nowMilliseconds)
-        is TrafficEvent.CrashRecordsRead -> state.mergeCrashRecords(event.records, nowMilliseconds, wallMilliseconds)
-        is TrafficEvent.LiveInstancesRead -> Transition(state.copy(liveInstances = event.live))
-        is TrafficEvent.RequestEvent -> state.decideRequest(event, nowMilliseconds)
-        is TrafficEvent.JobEvent -> state.decideJob(event, nowMilliseconds)
-        is TrafficEvent.TaskStreamEvent -> state.decideTask(event, nowMilliseconds)
-        TrafficEvent.DrainStarted -> Transition(state.copy(draining = true))
-        TrafficEvent.ReleaseJobs -> state.releaseJobs()
-        TrafficEvent.GraceEnding -> state.failOpenRequests(nowMilliseconds)
-        TrafficEvent.Tick -> state.tick(nowMilliseconds, wallMilliseconds)
+        is TrafficEvent.ConfigurationChanged -> {
+            Transition(state.handleConfiguration(event.configuration, nowMilliseconds, wallMilliseconds))
+        }
+
+        is TrafficEvent.VersionsNamed -> {
+            Transition(state.copy(namedVersions = event.versions).withExpectedLoads())
+        }
+
+        is TrafficEvent.BackendEvent -> {
+            state.decideBackends(event, nowMilliseconds, wallMilliseconds)
+        }
+
+        is TrafficEvent.CrashRecordsRead -> {
+            state.mergeCrashRecords(event.records, nowMilliseconds, wallMilliseconds)
+        }
+
+        is TrafficEvent.LiveInstancesRead -> {
+            Transition(state.copy(liveInstances = event.live))
+        }
+
+        is TrafficEvent.RequestEvent -> {
+            state.decideRequest(event, nowMilliseconds)
+        }
+
+        is TrafficEvent.JobEvent -> {
+            state.decideJob(event, nowMilliseconds)
+        }
+
+        is TrafficEvent.TaskStreamEvent -> {
+            state.decideTask(event, nowMilliseconds)
+        }
+
+        TrafficEvent.DrainStarted -> {
+            Transition(state.copy(draining = true))
+        }
+
+        TrafficEvent.ReleaseJobs -> {
+            state.releaseJobs()
+        }
+
+        TrafficEvent.GraceEnding -> {
+            state.failOpenRequests(nowMilliseconds)
+        }
+
+        TrafficEvent.Tick -> {
+            state.tick(nowMilliseconds, wallMilliseconds)
+        }
     }
 
 private fun TrafficState.decideBackends(
     event: TrafficEvent.BackendEvent,
     nowMilliseconds: Long,
+    wallMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> =
     when (event) {
-        is TrafficEvent.BackendsChanged -> updateBackends(event, nowMilliseconds)
+        is TrafficEvent.BackendsChanged -> updateBackends(event, nowMilliseconds, wallMilliseconds)
         is TrafficEvent.ServerLeaving -> handleServerLeaving(event)
+        is TrafficEvent.ServerCold -> Transition(handleServerCold(event, nowMilliseconds))
+        is TrafficEvent.ColdShareAnswered -> handleColdShare(event, nowMilliseconds)
         is TrafficEvent.DomainsEvacuated -> handleDomainsEvacuated(event.domains, nowMilliseconds)
     }
 
@@ -87,9 +126,11 @@
 private fun TrafficState.updateBackends(
     event: TrafficEvent.BackendsChanged,
     nowMilliseconds: Long,
+    wallMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> {
     val listed = backends.reconciledWith(event.entries.map(leavingServers::mark))
-    val updated = copy(backends = listed.withInFlightCounts(this)).withExpectedLoads()
+    val cold = coldServers.withEntries(event.entries, backends.isEmpty(), nowMilliseconds, wallMilliseconds)
+    val updated = copy(backends = listed.withInFlightCounts(this), coldServers = cold).withExpectedLoads()
     return Transition<TrafficState, TrafficEffect>(updated).andDispatchTasks(nowMilliseconds)
 }
 
@@ -120,6 +161,7 @@
 ): Transition<TrafficState, TrafficEffect> =
     expireCarriedTasks(nowMilliseconds)
         .expireSuspects(nowMilliseconds)
+        .andThen { it.tickColdServers(nowMilliseconds) }
         .andThen { it.continueRequests(nowMilliseconds) }
         .andThen { it.timeOutIdleTasks(nowMilliseconds) }
         .andThen { it.continueJobs(nowMilliseconds, wallMilliseconds) }
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/EvacuatedDomains.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/EvacuatedDomains.kt
@@ -6,6 +6,7 @@
 
 import org.mulberrypin.decisions.Transition
 import org.mulberrypin.decisions.andThen
+import org.mulberrypin.decisions.cold.SLOW_START_MILLISECONDS
 
 /** Replaces the evacuated failure domains and explains each change. */
 internal fun TrafficState.handleDomainsEvacuated(
@@ -15,7 +16,10 @@
     if (domains == evacuatedDomains) return Transition(this)
     val added = (domains - evacuatedDomains).map { explainEvacuation(it, "evacuation in force") }
     val removed = (evacuatedDomains - domains).map { explainEvacuation(it, "evacuation taken back") }
-    val changed = copy(evacuatedDomains = domains).withExpectedLoads()
+    val returned = returnedDomains.filter { (domain, time) ->
+        domain !in domains && nowMilliseconds - time < SLOW_START_MILLISECONDS
+    } + (evacuatedDomains - domains).associateWith { nowMilliseconds }
+    val changed = copy(evacuatedDomains = domains, returnedDomains = returned).withExpectedLoads()
     return Transition(changed, added + removed).andThen { it.dispatchTasks(nowMilliseconds) }
 }
 
@@ -38,7 +42,7 @@
 /** Refuses a request that has not been sent: no server of its pool may be used before the operator's next word. */
 internal fun TrafficState.refuseEvacuated(request: ForwardedRequest): Transition<TrafficState, TrafficEffect> {
     val reason = "all failure domains of the pool are evacuated"
-    val inputs = "$reason; pool=${request.pool} evacuated=${evacuatedDomains.sorted()}"
+    val inputs = "$reason; pool=${request.pool} evacuated=${evacuatedDomains.size}"
     val refusal = TrafficEffect.Reject(
         request.request,
         HttpStatusCode.UNAVAILABLE,
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardRequests.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardRequests.kt
@@ -115,7 +115,7 @@
     nowMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> {
     val candidates = backends.values.filter {
-        it.entry.pool == request.pool && isUsable(it) && it.entry.id !in request.tried
+        it.entry.pool == request.pool && isUsable(it, nowMilliseconds) && it.entry.id !in request.tried
     }
     val chosen = chooseBackend(
         candidates,
@@ -134,7 +134,7 @@
     val next = copy(
         requests = requests.put(request.request, sent),
         backends = backends.updated(chosen.entry.id, Backend::acquired),
-    )
+    ).withColdSend(chosen.entry.id, nowMilliseconds)
     return Transition(
         next,
         listOf(
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
@@ -58,7 +58,7 @@
         currentVersion = chosen.versionOf(job.submission.model),
     )
     val acquired = backends.updated(chosen.entry.id) { it.acquired().copy(isIsolated = task.isIsolated()) }
-    val next = withTask(job, started).copy(backends = acquired)
+    val next = withTask(job, started).copy(backends = acquired).withColdSend(chosen.entry.id, nowMilliseconds)
     val inputs = "attempt=${started.attempt} job=$jobId inFlight=${chosen.inFlight} load=${chosen.load} " +
         "weights=${started.currentVersion} minimum=${job.submission.minimumVersion} lastEvent=${task.lastEvent} " +
         "crashes=${task.crashes}"
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEffect.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEffect.kt
@@ -51,6 +51,17 @@
         val retryMilliseconds: Long? = null,
     ) : TrafficEffect
 
+    /**
+     * Claim a share of a cold backend server in the store.
+     *
+     * @property budget requests that the server may get from all instances in any second
+     */
+    public data class ClaimColdShare(
+        val server: String,
+        val startedWallMilliseconds: Long,
+        val budget: Int,
+    ) : TrafficEffect
+
     /** Announce these suspects to the other instances in place of those announced before. */
     public data class AnnounceSuspects(
         val suspects: Map<String, CrashSuspect>,
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEvent.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEvent.kt
@@ -1,5 +1,6 @@
 package org.mulberrypin.decisions.traffic
 
+import org.mulberrypin.decisions.cold.ColdClaimOutcome
 import org.mulberrypin.schema.generated.BackendServerEntry
 import org.mulberrypin.schema.generated.CrashRecord
 import org.mulberrypin.schema.generated.JobRecord
@@ -46,6 +47,24 @@
         val startedWallMilliseconds: Long?,
     ) : BackendEvent
 
+    /**
+     * A backend server said in a response for how long it stays cold.
+     *
+     * @property startedWallMilliseconds start time of the server that the call was meant for; null for the listed one
+     */
+    public data class ServerCold(
+        val server: String,
+        val startedWallMilliseconds: Long?,
+        val coldMilliseconds: Long,
+    ) : BackendEvent
+
+    /** The store answered a claim to a share of a cold backend server. */
+    public data class ColdShareAnswered(
+        val server: String,
+        val startedWallMilliseconds: Long,
+        val outcome: ColdClaimOutcome,
+    ) : BackendEvent
+
     /** The operator's evacuations changed; [domains] are all evacuated failure domains. */
     public data class DomainsEvacuated(
         val domains: Set<String>,
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficState.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficState.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
+import org.mulberrypin.decisions.cold.ColdServers
 import org.mulberrypin.schema.generated.JobRecord
 
 /**
@@ -19,6 +20,8 @@
  * @property loadingServers engines that are expected to load weights now and refuse tasks meanwhile
  * @property liveInstances instances that are sending heartbeats
  * @property evacuatedDomains failure domains whose backend servers the operator lets nothing be sent to
+ * @property returnedDomains when the evacuation of a failure domain was last taken back, in milliseconds
+ * @property coldServers backend servers that get few requests while they are cold
  * @property nextInternalRequest number of the next request that this instance originates; counts down from -1 so
  * that it never equals a request number of the front end
  */
@@ -37,6 +40,8 @@
     val loadingServers: Set<String> = emptySet(),
     val liveInstances: List<LiveInstance> = emptyList(),
     val evacuatedDomains: Set<String> = emptySet(),
+    val returnedDomains: Map<String, Long> = emptyMap(),
+    val coldServers: ColdServers = ColdServers(),
     val draining: Boolean = false,
     val nextInternalRequest: Long = -1,
     val lastTakeoverMilliseconds: Long = 0,
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
@@ -4,6 +4,7 @@
 import com.linecorp.armeria.server.Server
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import org.mulberrypin.decisions.cold.ColdLimits
 import org.mulberrypin.decisions.traffic.InstanceIdentity
 import org.mulberrypin.decisions.traffic.TrafficEvent
 import org.mulberrypin.decisions.weights.WeightEvent
@@ -52,11 +53,15 @@
     lateinit var traffic: TrafficDuty
     lateinit var control: ControlDuty
     val onLeaving = leavingListener({ traffic }, { control })
-    val clients = httpClients(onLeaving)
+    val onCold = { server: String, started: Long?, milliseconds: Long ->
+        traffic.enqueue(TrafficEvent.ServerCold(server, started, milliseconds))
+    }
+    val clients = httpClients(onLeaving, onCold)
     val store = httpRowStore(clients(settings.storeAddress), settings.storeAddress)
-    val backends = httpBackendCalls(clients, settings.usageAddress, httpClients(onLeaving))
+    val backends = httpBackendCalls(clients, settings.usageAddress, httpClients(onLeaving, onCold))
     control = ControlDuty(identity, settings, controlPorts(store, backends, clock, log) { traffic })
-    traffic = TrafficDuty(identity, trafficPorts(store, backends, control, clock, log, registry))
+    val coldLimits = ColdLimits(settings.coldOverage, settings.coldSlackRequests)
+    traffic = TrafficDuty(identity, trafficPorts(store, backends, control, clock, log, registry), coldLimits)
     lateinit var follow: FollowDuty
     val readiness = InstanceReadiness { maxOf(traffic.millisecondsSinceTick(), follow.millisecondsSinceTick()) }
     follow = FollowDuty(store, followOutlets(traffic, control, readiness), clock, log)
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/StoreTables.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/StoreTables.kt
@@ -21,6 +21,9 @@
     /** Leases of singleton duties, keyed by lease name. */
     const val LEASES = "leases"
 
+    /** Shares of cold backend servers, keyed by server and start of its lifetime. */
+    const val COLD_SHARES = "cold-shares"
+
     /** Request counts, one partition per usage window, keyed by instance and incarnation. */
     const val USAGE = "usage"
 
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficCounters.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficCounters.kt
@@ -14,6 +14,8 @@
     val jobs: AtomicInteger,
     val tasks: AtomicInteger,
     val evacuatedDomains: AtomicInteger,
+    val coldServers: AtomicInteger,
+    val coldClaims: Counter,
     val requestLatency: Timer,
     val jobCallLatency: Timer,
 )
@@ -27,6 +29,8 @@
         jobs = registry.gauge("mulberrypin_jobs_running", AtomicInteger()),
         tasks = registry.gauge("mulberrypin_tasks_running", AtomicInteger()),
         evacuatedDomains = registry.gauge("mulberrypin_failure_domains_evacuated", AtomicInteger()),
+        coldServers = registry.gauge("mulberrypin_backend_servers_cold", AtomicInteger()),
+        coldClaims = registry.counter("mulberrypin_cold_share_claims"),
         requestLatency = latencyHistogram(registry, "mulberrypin_request_latency"),
         jobCallLatency = latencyHistogram(registry, "mulberrypin_job_call_latency"),
     )
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
@@ -1,5 +1,7 @@
 package org.mulberrypin.service.deployment
 
+import org.mulberrypin.decisions.cold.ColdLimits
+import org.mulberrypin.decisions.cold.ColdServers
 import org.mulberrypin.decisions.traffic.HttpStatusCode
 import org.mulberrypin.decisions.traffic.InstanceIdentity
 import org.mulberrypin.decisions.traffic.TaskPhase
@@ -42,16 +44,21 @@
     val announceCrashes: (List<CrashRecord>) -> Unit,
 )
 
-/** Forwards callers' requests and runs batch jobs. Only [submit] and [enqueue] may be called from other threads. */
+/**
+ * Forwards callers' requests and runs batch jobs. Only [submit] and [enqueue] may be called from other threads.
+ *
+ * @param coldLimits how far the requests to a cold backend server may exceed what its pool states
+ */
 internal class TrafficDuty(
     private val identity: InstanceIdentity,
     private val ports: TrafficPorts,
+    coldLimits: ColdLimits = ColdLimits(),
 ) {
     private val ring: BoundedRing<TrafficSignal> = boundedRing("traffic", RING_CAPACITY)
     private val callCounter = AtomicLong()
     private val openCalls = AtomicInteger()
     private val runningTasks = AtomicInteger()
-    private var state = TrafficState(identity)
+    private var state = TrafficState(identity, coldServers = ColdServers(coldLimits))
     private val calls = HashMap<Long, IncomingCall>()
     private val arrivalMilliseconds = HashMap<Long, Long>()
     private val responses = HashMap<Long, BackendResponse>()
@@ -60,6 +67,9 @@
     private val jobStore = JobStore(ports.store, ports.log)
     private val jobEffects = JobEffectHandler(jobStore, ports.store, identity, ports.log, ::enqueue)
     private val jobCalls = JobCalls(jobStore, ports, { state }, ::offer, ::reply)
+    private val coldShares = ColdShareClaims(identity.name, ports.store, ports.log) { claim, outcome ->
+        enqueue(TrafficEvent.ColdShareAnswered(claim.server, claim.startedWallMilliseconds, outcome))
+    }
     private var thread: Duty? = null
 
     /** Number of calls and tasks in flight, as of the last tick. */
@@ -122,6 +132,10 @@
         ports.counters.jobs.set(state.jobs.size)
         ports.counters.tasks.set(taskCancellers.size)
         ports.counters.evacuatedDomains.set(state.evacuatedDomains.size)
+        ports.counters.coldServers.set(
+            state.coldServers.servers.values
+                .count { it.isReportedCold },
+        )
     }
 
     /** Removes the cancellation handles of finished requests and streams. */
@@ -212,6 +226,11 @@
                 ports.countUsage(effect.team)
             }
 
+            is TrafficEffect.ClaimColdShare -> {
+                ports.counters.coldClaims.increment()
+                coldShares.claim(effect)
+            }
+
             is TrafficEffect.AnnounceSuspects -> {
                 ports.announceCrashes(crashRecords(effect, ports.clock))
             }
