Merge branch 'part/cold': cold servers and slow start

Joined with the order of work and the choice of servers: the room of a pool is judged by servers that may be used now, its drain rate and a job's slots by all that are admitted.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ChooseBackend.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ChooseBackend.kt
@@ -17,7 +17,7 @@
     nowMilliseconds: Long,
 ): Choice<Backend>? {
     val usable = backends.values.filter {
-        it.entry.pool == request.pool && isUsable(it) && it.entry.id !in request.tried
+        it.entry.pool == request.pool && isUsable(it, nowMilliseconds) && it.entry.id !in request.tried
     }
     val ready = usable.filter { it.avoidedUntilMilliseconds <= nowMilliseconds }
     val candidates = ready.ifEmpty { soonestReady(usable) }.map { it to candidateOf(it) }
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardRequests.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ForwardRequests.kt
@@ -130,7 +130,7 @@
     val next = copy(
         requests = requests.put(request.request, sent),
         backends = backends.updated(chosen.entry.id) { it.acquired(nowMilliseconds) },
-    )
+    ).withColdSend(chosen.entry.id, nowMilliseconds)
     return Transition(
         next,
         listOf(
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RankJobs.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RankJobs.kt
@@ -89,7 +89,7 @@
     val route = routeOf(job)
     val pools = route?.pools.orEmpty().mapTo(HashSet()) { it.pool }
     val engines = backends.values.filter {
-        it.entry.pool in pools && isUsable(it) && it.versionOf(job.submission.model) > 0
+        it.entry.pool in pools && isAdmitted(it) && it.versionOf(job.submission.model) > 0
     }
     val due = route?.resultsDueMilliseconds ?: 0
     val age = nowMilliseconds + queues.wallOffsetMilliseconds - job.record.submittedWallMilliseconds
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RefuseRequests.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RefuseRequests.kt
@@ -69,7 +69,8 @@
 ): Double? {
     val pressure = pressureOf(pool)
     if (!pressure.knowsRunTimes(nowMilliseconds)) return null
-    val waits = usableServers(pool).map { it.waitMilliseconds(pressure.meanRunMilliseconds, nowMilliseconds) }
+    val usable = admittedServers(pool).filter { isUsable(it, nowMilliseconds) }
+    val waits = usable.map { it.waitMilliseconds(pressure.meanRunMilliseconds, nowMilliseconds) }
     return if (waits.any { it == null }) null else waits.filterNotNull().minOrNull()
 }
 
@@ -89,15 +90,15 @@
     }
 }
 
-private fun TrafficState.usableServers(pool: String): List<Backend> =
-    backends.values.filter { it.entry.pool == pool && isUsable(it) }
+private fun TrafficState.admittedServers(pool: String): List<Backend> =
+    backends.values.filter { it.entry.pool == pool && isAdmitted(it) }
 
-/** Requests per millisecond that the usable servers of the request's pool complete when all slots are taken. */
+/** Requests per millisecond that the admitted servers of the request's pool complete when all slots are taken. */
 internal fun TrafficState.drainRate(
     request: ForwardedRequest,
     nowMilliseconds: Long,
 ): Double =
-    usableServers(request.pool).sumOf { it.entry.slots } / expectedRunMilliseconds(request, nowMilliseconds)
+    admittedServers(request.pool).sumOf { it.entry.slots } / expectedRunMilliseconds(request, nowMilliseconds)
 
 private fun TrafficState.refuseAtOnce(
     request: ForwardedRequest,
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
@@ -64,7 +64,7 @@
     val acquired = backends.updated(chosen.entry.id) {
         it.acquired(nowMilliseconds).copy(isIsolated = task.isIsolated())
     }
-    val next = withTask(job, started).copy(backends = acquired)
+    val next = withTask(job, started).copy(backends = acquired).withColdSend(chosen.entry.id, nowMilliseconds)
     val inputs = "attempt=${started.attempt} job=$jobId inFlight=${chosen.inFlight} " +
         "weights=${started.currentVersion} minimum=${job.submission.minimumVersion} lastEvent=${task.lastEvent} " +
         "crashes=${task.crashes} hint=${task.lengthHint} ${choice.expected.describe()} " +
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficState.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficState.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
+import org.mulberrypin.decisions.cold.ColdServers
 import org.mulberrypin.decisions.work.RunTimes
 import org.mulberrypin.decisions.work.TextLengths
 import org.mulberrypin.schema.generated.JobRecord
@@ -21,6 +22,8 @@
  * @property loadingServers engines that are expected to load weights now and refuse tasks meanwhile
  * @property liveInstances instances that are sending heartbeats
  * @property evacuatedDomains failure domains whose backend servers the operator lets nothing be sent to
+ * @property returnedDomains when the evacuation of a failure domain was last taken back, in milliseconds
+ * @property coldServers backend servers that get few requests while they are cold
  * @property runTimes learned run times of requests, by route
  * @property poolRunTimes learned run times of the requests that a pool gets from this instance, by pool
  * @property textLengths learned lengths of texts in relation to their hints, by route
@@ -43,6 +46,8 @@
     val loadingServers: Set<String> = emptySet(),
     val liveInstances: List<LiveInstance> = emptyList(),
     val evacuatedDomains: Set<String> = emptySet(),
+    val returnedDomains: Map<String, Long> = emptyMap(),
+    val coldServers: ColdServers = ColdServers(),
     val draining: Boolean = false,
     val runTimes: RunTimes = RunTimes(),
     val poolRunTimes: RunTimes = RunTimes(),
