Start the longest texts first while all fit in time

Ordering the groups of a step by their longest expected text gave up groups as late whose hints were too high, and started long texts after short ones although there was time for all. While all texts that count are expected to be complete when the results are due, the longest now starts first. Otherwise groups go by all the work that they have left, and a group is given up only if a quarter of its expected length would be late.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/ordering/RankTasks.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/ordering/RankTasks.kt
@@ -18,32 +18,48 @@
     val groups = groupsOf(members, outlook)
     val waiting = groups.flatMap { group -> group.members.filter { it.isWaiting }.map { WaitingMember(group, it) } }
     val queueMilliseconds = queueMilliseconds(waiting, outlook)
-    val ordered = waiting.sortedWith(
-        compareBy<WaitingMember> { it.group.standing }
-            .thenBy { it.group.isLate }
-            .thenBy { !it.group.mayBeReturned }
-            .thenBy { !it.cannotWait(outlook, queueMilliseconds) }
-            .thenBy { if (it.group.mayBeReturned) 0 else it.group.longestTokens }
-            .thenBy { it.group.position }
-            .thenByDescending { it.member.remainingTokens },
-    )
+    val order = if (fitsInTime(waiting, outlook, queueMilliseconds)) {
+        longestFirst
+    } else {
+        nearestFirst { it.cannotWait(outlook, queueMilliseconds) }
+    }
+    val ordered = waiting.sortedWith(order)
     return JobOrder(
         standings = groups.associate { it.name to it.standing },
         tasks = ordered.map { RankedTask(it.member.task, it.group.standing, it.member.remainingTokens) },
     )
 }
 
+/** Order while all texts that count can be complete in time: a text that turns out longer has the most time left. */
+private val longestFirst: Comparator<WaitingMember> =
+    compareBy<WaitingMember> { it.group.standing }
+        .thenBy { it.group.isLate }
+        .thenByDescending { it.member.remainingTokens }
+        .thenBy { it.group.position }
+
+/** Order while some texts will be late: as many groups as possible become whole in time. */
+private fun nearestFirst(cannotWait: (WaitingMember) -> Boolean): Comparator<WaitingMember> =
+    compareBy<WaitingMember> { it.group.standing }
+        .thenBy { it.group.isLate }
+        .thenBy { !it.group.mayBeReturned }
+        .thenBy { !cannotWait(it) }
+        .thenBy { if (it.group.mayBeReturned) 0 else it.group.remainingTokens }
+        .thenBy { it.group.position }
+        .thenByDescending { it.member.remainingTokens }
+
 /**
  * A group of a job.
  *
  * @property position place of the group in the submission
- * @property longestTokens expected remaining tokens of the group's longest text
- * @property isLate true if that text can't be complete when the results are due
+ * @property remainingTokens expected remaining tokens of all texts of the group
+ * @property longestTokens expected remaining tokens of its longest text
+ * @property isLate true if that text would be late even if it turned out much shorter than expected
  */
 private data class Group(
     val name: String,
     val position: Int,
     val members: List<GroupMember>,
+    val remainingTokens: Long,
     val longestTokens: Long,
     val isLate: Boolean,
     val mayBeReturned: Boolean,
@@ -68,6 +84,7 @@
                 name = name,
                 position = position,
                 members = tasks,
+                remainingTokens = tasks.sumOf { it.remainingTokens },
                 longestTokens = longest,
                 isLate = isLate(longest, outlook),
                 mayBeReturned = position < outlook.wantedGroups / 2,
@@ -75,7 +92,7 @@
         }
     val wanted = if (outlook.wantedGroups > 0) outlook.wantedGroups else groups.size
     val (returned, others) = groups.partition { it.mayBeReturned }
-    val nearestFirst = others.sortedWith(compareBy({ it.isLate }, { it.longestTokens }, { it.position }))
+    val nearestFirst = others.sortedWith(compareBy({ it.isLate }, { it.remainingTokens }, { it.position }))
     val counting = returned + nearestFirst.take((wanted - returned.size).coerceAtLeast(0))
     val rest = if (counting.all { it.longestTokens == 0L }) GroupStanding.YIELDS else GroupStanding.SPARE
     val countingPositions = counting.mapTo(HashSet()) { it.position }
@@ -87,7 +104,8 @@
     outlook: JobOutlook,
 ): Boolean {
     val timeLeft = outlook.timeLeftMilliseconds ?: return false
-    return tokens > 0 && tokens * (outlook.tokenMilliseconds ?: 0.0) > timeLeft
+    val shortestMilliseconds = tokens * SHORTEST_LENGTH_SHARE * (outlook.tokenMilliseconds ?: 0.0)
+    return tokens > 0 && shortestMilliseconds > timeLeft
 }
 
 /** Time until the last of the tasks that count would start if they started in any order. */
@@ -99,6 +117,20 @@
     return tokens * (outlook.tokenMilliseconds ?: 0.0) / outlook.slots.coerceAtLeast(1)
 }
 
+/** Whether all texts that count are expected to be complete when the results are due, in whatever order they start. */
+private fun fitsInTime(
+    waiting: List<WaitingMember>,
+    outlook: JobOutlook,
+    queueMilliseconds: Double,
+): Boolean {
+    val timeLeft = outlook.timeLeftMilliseconds ?: return false
+    val tokenMilliseconds = outlook.tokenMilliseconds ?: return false
+    val longest = waiting
+        .filter { it.group.standing == GroupStanding.COUNTS && !it.group.isLate }
+        .maxOfOrNull { it.member.remainingTokens } ?: 0
+    return longest * tokenMilliseconds + queueMilliseconds <= timeLeft
+}
+
 /** Whether the text would be late if its task started after the others that count. */
 private fun WaitingMember.cannotWait(
     outlook: JobOutlook,
@@ -108,3 +140,6 @@
     val runMilliseconds = member.remainingTokens * (outlook.tokenMilliseconds ?: 0.0)
     return !group.isLate && runMilliseconds + queueMilliseconds > timeLeft
 }
+
+/** Share of its expected length that a text may turn out to have; length hints are often far off. */
+private const val SHORTEST_LENGTH_SHARE = 0.25
