--- a/benchmarks/src/main/kotlin/org/mulberrypin/benchmarks/work/WorkBenchmark.kt
+++ b/benchmarks/src/main/kotlin/org/mulberrypin/benchmarks/work/WorkBenchmark.kt
@@ -13,6 +13,7 @@
     println("| --- | --- | --- | --- | --- | --- | --- |")
     INSTANCES.forEach { compare(WorkScenario(it), seed) }
     INSTANCES.forEach { compare(WorkScenario(it, sharedReportMilliseconds = SHARED_REPORT_MILLISECONDS), seed) }
+    INSTANCES.forEach { compare(WorkScenario(it, hasReports = false), seed) }
     UTILIZATIONS.forEach { compare(WorkScenario(INSTANCES_BY_USE, utilization = it), seed) }
 }
 
@@ -20,7 +21,11 @@
     scenario: WorkScenario,
     seed: Int,
 ) {
-    val reports = if (scenario.sharedReportMilliseconds > 0) "of all, 0 to 2 s old" else "with own answers"
+    val reports = when {
+        !scenario.hasReports -> "none"
+        scenario.sharedReportMilliseconds > 0 -> "of all, 0 to 2 s old"
+        else -> "with own answers"
+    }
     val policies: List<Pair<String, WorkPolicy>> = listOf(
         "occupancy in eighths (before)" to ::occupancyInEighths,
         "least outstanding" to ::leastOutstanding,
--- a/benchmarks/src/main/kotlin/org/mulberrypin/benchmarks/work/WorkSimulation.kt
+++ b/benchmarks/src/main/kotlin/org/mulberrypin/benchmarks/work/WorkSimulation.kt
@@ -139,7 +139,7 @@
         view[request.server] = view[request.server].let {
             it.copy(inFlight = it.inFlight - 1, work = it.work.answered(now))
         }
-        learnLoad(request.instance, request.server, report)
+        if (scenario.hasReports) learnLoad(request.instance, request.server, report)
         val expected = request.expected?.total?.takeIf { it > 0 } ?: return
         val times = runTimes[request.instance]
         val usual = times.expected(request.route, objectiveOf(request), now)
