--- a/command/src/main/kotlin/org/mulberrypin/command/AllCommands.kt
+++ b/command/src/main/kotlin/org/mulberrypin/command/AllCommands.kt
@@ -7,6 +7,7 @@
     listOf(
         serveCommand,
         entryCommand,
+        rehearseCommand,
         demoCommand,
         checkSettingsCommand,
         configurationShowCommand,
