Let only instances that own something be missed soon

Each instance wrote and read all heartbeats each 10 ms times their number, decoded every row, read the lease's row four times in its duration and logged every other instance by a line of its own. Cost and detection time both grew with the number of instances.

Owners of jobs, the holder of the lease and the first two choices as owners of each model write and read twice a second; the others less often, and each heartbeat promises when the next one comes. Readings follow the table's change feed and decode only what changed. Contenders that do not hold the lease read it ten times a second together. A feed is held open for half of contactMs. A change of many instances or backend servers is one line.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/instances/WatchInstances.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/instances/WatchInstances.kt
@@ -1,4 +1,4 @@
-/** Detects live instances from repeated reads of the heartbeat table, and sets the heartbeat interval. */
+/** Detects live instances from repeated reads of the heartbeat table. */
 package org.mulberrypin.decisions.instances
 
 import org.mulberrypin.schema.generated.InstanceHeartbeat
@@ -7,46 +7,59 @@
  * Heartbeats of all instances as observed by one instance.
  *
  * @property observed newest heartbeat of each instance, by instance name
+ * @property lastReadMilliseconds time of the last successful read, by the monotonic clock; null before the first
  */
 public data class HeartbeatTracker(
     val observed: Map<String, ObservedHeartbeat> = emptyMap(),
+    val lastReadMilliseconds: Long? = null,
 )
 
-/** A heartbeat and the number of consecutive reads in which it was unchanged. */
+/**
+ * A heartbeat, the number of consecutive reads in which it was unchanged, and the time that these reads span; a gap
+ * between two reads counts as [MAX_READ_GAP_MILLISECONDS] at most.
+ */
 public data class ObservedHeartbeat(
     val heartbeat: InstanceHeartbeat,
-    val unchangedReads: Int,
+    val unchangedReads: Int = 0,
+    val unchangedMilliseconds: Long = 0,
 )
 
 /**
- * Applies a successful read of the whole table. Must not be called after a failed read, so that a store outage
- * does not mark any instance as gone.
+ * Applies a successful read of the table, of which only [changed] rows are decoded. Must not be called after a failed
+ * read, so that a store outage does not mark any instance as gone.
+ *
+ * @param present names of all instances that have a row
  */
-public fun HeartbeatTracker.withReading(heartbeats: List<InstanceHeartbeat>): HeartbeatTracker =
-    HeartbeatTracker(
-        heartbeats.associate { heartbeat ->
-            val previous = observed[heartbeat.name]
-            val isSame = previous?.heartbeat == heartbeat
-            heartbeat.name to ObservedHeartbeat(heartbeat, if (isSame) previous.unchangedReads + 1 else 0)
-        },
-    )
+public fun HeartbeatTracker.withReading(
+    changed: List<InstanceHeartbeat>,
+    present: Set<String>,
+    nowMilliseconds: Long,
+): HeartbeatTracker {
+    val gapMilliseconds = lastReadMilliseconds?.let { minOf(nowMilliseconds - it, MAX_READ_GAP_MILLISECONDS) } ?: 0
+    val kept = observed.filterKeys { it in present }.mapValues { (_, known) ->
+        known.copy(
+            unchangedReads = known.unchangedReads + 1,
+            unchangedMilliseconds = known.unchangedMilliseconds + gapMilliseconds,
+        )
+    }
+    val renewed = changed
+        .filter { observed[it.name]?.heartbeat != it }
+        .associate { it.name to ObservedHeartbeat(it) }
+    return HeartbeatTracker(kept + renewed, nowMilliseconds)
+}
 
 /** Instances whose heartbeats keep changing and that are not shutting down. */
 public fun HeartbeatTracker.liveInstances(): List<InstanceHeartbeat> =
     observed.values
-        .filter { it.unchangedReads < UNCHANGED_READS_LIMIT && !it.heartbeat.leaving }
+        .filter { !it.isGone() && !it.heartbeat.leaving }
         .map { it.heartbeat }
 
-/** Heartbeat interval in milliseconds at which all live [instances] together stay within the heartbeat budget. */
-public fun heartbeatMilliseconds(instances: Int): Long =
-    maxOf(MIN_HEARTBEAT_INTERVAL_MILLISECONDS, instances * MILLISECONDS_PER_SECOND / MAX_HEARTBEATS_PER_SECOND)
-
-/** Maximum heartbeat rate of all instances together: an eighth of the write rate of the smallest store in use. */
-private const val MAX_HEARTBEATS_PER_SECOND = 100L
+private fun ObservedHeartbeat.isGone(): Boolean =
+    unchangedReads >= MISSED_HEARTBEATS_LIMIT &&
+        unchangedMilliseconds >= MISSED_HEARTBEATS_LIMIT * heartbeat.intervalMilliseconds
 
-/** Minimum heartbeat interval in milliseconds: a sixth of the time that a lease takes to change its holder. */
-private const val MIN_HEARTBEAT_INTERVAL_MILLISECONDS = 500L
-private const val MILLISECONDS_PER_SECOND = 1_000L
+/** Consecutive unchanged reads, and missed intervals, after which an instance is considered gone. */
+private const val MISSED_HEARTBEATS_LIMIT = 3
 
-/** Consecutive unchanged reads after which an instance is considered gone; there is one read per heartbeat interval. */
-private const val UNCHANGED_READS_LIMIT = 3
+/** Largest part of the time between two reads that counts towards the absence of an instance, in milliseconds. */
+public const val MAX_READ_GAP_MILLISECONDS: Long = 2_000
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/leases/DecideLease.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/leases/DecideLease.kt
@@ -23,6 +23,7 @@
     when (event) {
         LeaseEvent.Tick -> state.handleTick(nowMilliseconds)
         LeaseEvent.Release -> state.release()
+        is LeaseEvent.ContendersCounted -> Transition(state.copy(contenders = event.contenders))
         is LeaseEvent.RowRead -> state.completeStep(event.attempt).observe(event.row, nowMilliseconds)
         is LeaseEvent.ReadFailed -> Transition(state.completeStep(event.attempt))
         is LeaseEvent.Written -> state.handleWritten(event.attempt, nowMilliseconds)
@@ -112,10 +113,18 @@
         releasing -> Transition(this)
         isOwn(observed.row.record) -> if (due) write(observed.row, nowMilliseconds) else Transition(this)
         canAcquire(observed, nowMilliseconds) -> write(observed.row, nowMilliseconds)
-        else -> if (due) read(nowMilliseconds) else Transition(this)
+        else -> if (isReadDue(nowMilliseconds)) read(nowMilliseconds) else Transition(this)
     }
 }
 
+private fun LeaseState.isReadDue(nowMilliseconds: Long): Boolean {
+    val last = lastStepMilliseconds ?: return true
+    val interval = parameters.watchMilliseconds(contenders)
+    if (interval == parameters.renewalMilliseconds) return nowMilliseconds - last >= interval
+    val phase = parameters.phaseMilliseconds
+    return (nowMilliseconds + phase).floorDiv(interval) != (last + phase).floorDiv(interval)
+}
+
 private fun LeaseState.isDue(nowMilliseconds: Long): Boolean =
     lastStepMilliseconds == null || nowMilliseconds - lastStepMilliseconds >= parameters.renewalMilliseconds
 
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/leases/LeaseEvent.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/leases/LeaseEvent.kt
@@ -5,6 +5,11 @@
     /** Timer tick. */
     public data object Tick : LeaseEvent
 
+    /** The number of instances that contend for the lease, this one included. */
+    public data class ContendersCounted(
+        val contenders: Int,
+    ) : LeaseEvent
+
     /** The process releases the lease and stops contending for it. */
     public data object Release : LeaseEvent
 
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/leases/LeaseState.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/leases/LeaseState.kt
@@ -15,6 +15,7 @@
  * once the row shows the write
  * @property lastStepMilliseconds start time of the last read or write; null if none or if the last write did not run
  * @property unresolved true while the outcome of the last write is unknown
+ * @property contenders number of instances that contend for the lease, as far as this process knows
  * @property releasing true once the process releases the lease
  */
 public data class LeaseState(
@@ -27,6 +28,7 @@
     val lastStepMilliseconds: Long? = null,
     val unresolved: Boolean = false,
     val releasing: Boolean = false,
+    val contenders: Int = 1,
 )
 
 /** A row and the time at which it was first read in this version, on the clock of the reading process. */
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/JobOwners.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/JobOwners.kt
@@ -16,11 +16,18 @@
 internal fun TrafficState.ownerOf(record: JobRecord): LiveInstance =
     successorOf(record) ?: LiveInstance(identity.name, identity.incarnation, identity.capacity)
 
-private fun TrafficState.successorOf(record: JobRecord): LiveInstance? {
-    val largest = liveInstances.maxOfOrNull { it.capacity } ?: return null
-    return liveInstances
+private fun TrafficState.successorOf(record: JobRecord): LiveInstance? =
+    jobOwners(record.model, liveInstances).firstOrNull()
+
+/** Those of [instances] that may own the jobs of [model], in the order in which they succeed each other. */
+public fun jobOwners(
+    model: String,
+    instances: List<LiveInstance>,
+): List<LiveInstance> {
+    val largest = instances.maxOfOrNull { it.capacity } ?: return emptyList()
+    return instances
         .filter { it.capacity * 2 >= largest }
-        .maxByOrNull { stableHash(stableHash(0, record.model), it.name) }
+        .sortedByDescending { stableHash(stableHash(0, model), it.name) }
 }
 
 /**
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/ControlDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/ControlDuty.kt
@@ -1,9 +1,11 @@
 package org.mulberrypin.service.deployment
 
-import org.mulberrypin.decisions.instances.HeartbeatTracker
-import org.mulberrypin.decisions.instances.heartbeatMilliseconds
-import org.mulberrypin.decisions.instances.liveInstances
-import org.mulberrypin.decisions.instances.withReading
+import org.mulberrypin.decisions.instances.HeartbeatCadence
+import org.mulberrypin.decisions.instances.LIKELY_OWNERS
+import org.mulberrypin.decisions.instances.MIN_HEARTBEAT_INTERVAL_MILLISECONDS
+import org.mulberrypin.decisions.instances.isLikelyOwner
+import org.mulberrypin.decisions.instances.unwatchedCadence
+import org.mulberrypin.decisions.instances.watchedCadence
 import org.mulberrypin.decisions.leases.HeldLease
 import org.mulberrypin.decisions.leases.LeaseEvent
 import org.mulberrypin.decisions.leases.LeaseParameters
@@ -18,13 +20,10 @@
 import org.mulberrypin.platform.deployment.BackendCalls
 import org.mulberrypin.platform.deployment.DeploymentSettings
 import org.mulberrypin.platform.deployment.OrderAnswer
-import org.mulberrypin.platform.deployment.RowRange
 import org.mulberrypin.platform.deployment.RowStore
 import org.mulberrypin.platform.deployment.RowTransaction
 import org.mulberrypin.platform.deployment.RowWrite
-import org.mulberrypin.platform.deployment.StoredRow
 import org.mulberrypin.platform.deployment.WeightOrder
-import org.mulberrypin.platform.deployment.readAllRows
 import org.mulberrypin.runtime.BoundedRing
 import org.mulberrypin.runtime.Duty
 import org.mulberrypin.runtime.Outcome
@@ -40,6 +39,7 @@
 /**
  * Dependencies of the control duty.
  *
+ * @property runsJobs whether this instance runs batch jobs
  * @property onInstances called on the control thread with the live instances whenever their list changes
  * @property onCrashRecords called on the control thread whenever the crash records of the other instances change
  */
@@ -48,6 +48,7 @@
     val backends: BackendCalls,
     val clock: ServiceClock,
     val log: DecisionLog,
+    val runsJobs: () -> Boolean,
     val onInstances: (List<LiveInstance>) -> Unit,
     val onCrashRecords: (List<CrashRecord>) -> Unit,
 )
@@ -58,7 +59,7 @@
  */
 internal class ControlDuty(
     private val identity: InstanceIdentity,
-    settings: DeploymentSettings,
+    private val settings: DeploymentSettings,
     private val ports: ControlPorts,
 ) {
     private val ring: BoundedRing<ControlSignal> = boundedRing("control", RING_CAPACITY)
@@ -76,16 +77,21 @@
             ::currentHold,
         ) { offer(ControlSignal.Usage(it)) },
     )
+    private val instanceReader = InstanceReader(
+        identity.name,
+        InstanceReaderPorts(ports.store, ports.log, ::offer, ::handleInstances, ports.onCrashRecords),
+    )
     private var weightState = WeightState()
-    private var heartbeatTracker = HeartbeatTracker()
     private var pools = emptyList<ServingPool>()
     private var engines = emptyList<BackendServerEntry>()
     private var namedWeights = emptyList<NamedWeights>()
     private var announcedCrashes = emptyList<CrashRecord>()
-    private var knownCrashes = emptyList<CrashRecord>()
+    private var models = setOf(NO_MODEL)
+    private var isLikelyOwner = true
     private var heartbeatCount = 0L
     private var isLeaving = false
-    private var nextHeartbeatMilliseconds = 0L
+    private var nextHeartbeatMilliseconds = Long.MIN_VALUE
+    private var lastReadMilliseconds: Long? = null
     private var nextUsageWriteMilliseconds = 0L
     private var thread: Duty? = null
 
@@ -116,9 +122,10 @@
             is ControlSignal.Lease -> leaseManager.handle(signal.event)
             is ControlSignal.Weights -> handleWeightEvent(signal.event)
             is ControlSignal.Usage -> usageManager.handle(signal.event)
-            is ControlSignal.InstancesRead -> handleInstancesRead(signal.outcome)
+            is ControlSignal.InstancesRead -> instanceReader.handlePage(signal.callNumber, signal.outcome, readClock())
+            is ControlSignal.InstancesChanged -> handleInstancesChanged(signal)
             is ControlSignal.ListsChanged -> handleListsChanged(signal)
-            is ControlSignal.CrashesAnnounced -> announcedCrashes = signal.records
+            is ControlSignal.CrashesAnnounced -> announceCrashes(signal.records)
             ControlSignal.DrainStarted -> startDrain()
         }
     }
@@ -126,25 +133,65 @@
     private fun tick() {
         leaseManager.handle(LeaseEvent.Tick)
         handleWeightEvent(if (currentHold() == null) WeightEvent.LeaseLost else WeightEvent.Tick)
-        val now = ports.clock.readMilliseconds()
-        if (now >= nextHeartbeatMilliseconds) {
-            nextHeartbeatMilliseconds = now + heartbeatMilliseconds(heartbeatTracker.liveInstances().size)
-            writeHeartbeat()
-            readInstances()
-        }
+        val now = readClock()
+        keepInTouch(now)
         if (now >= nextUsageWriteMilliseconds) {
             nextUsageWriteMilliseconds = now + USAGE_WRITE_INTERVAL_MILLISECONDS
             usageManager.handle(UsageEvent.Tick(ports.clock.readWallMilliseconds(), currentHold() != null))
         }
     }
 
+    private fun readClock(): Long = ports.clock.readMilliseconds()
+
+    private fun keepInTouch(nowMilliseconds: Long) {
+        val cadence = cadence()
+        if (nowMilliseconds >= nextHeartbeatMilliseconds) {
+            nextHeartbeatMilliseconds = nowMilliseconds + cadence.writeMilliseconds
+            writeHeartbeat(cadence.writeMilliseconds)
+        }
+        // A heartbeat promises when the next one comes, so a longer interval starts with the next heartbeat.
+        nextHeartbeatMilliseconds = minOf(nextHeartbeatMilliseconds, nowMilliseconds + cadence.writeMilliseconds)
+        val lastRead = lastReadMilliseconds
+        if (lastRead == null || nowMilliseconds - lastRead >= cadence.readMilliseconds) {
+            lastReadMilliseconds = nowMilliseconds
+            instanceReader.read(nowMilliseconds)
+        }
+    }
+
+    private fun cadence(): HeartbeatCadence =
+        if (isLikelyOwner || ports.runsJobs() || currentHold() != null) {
+            watchedCadence(models.size * LIKELY_OWNERS)
+        } else {
+            unwatchedCadence(instanceReader.live.size, feedWaitMilliseconds(settings.contactMilliseconds))
+        }
+
+    /** Writes the next heartbeat soon, since servers that run these contents may crash meanwhile. */
+    private fun announceCrashes(records: List<CrashRecord>) {
+        announcedCrashes = records
+        nextHeartbeatMilliseconds =
+            minOf(nextHeartbeatMilliseconds, readClock() + MIN_HEARTBEAT_INTERVAL_MILLISECONDS / 2)
+    }
+
+    private fun handleInstancesChanged(signal: ControlSignal.InstancesChanged) =
+        instanceReader.handleChanges(signal.callNumber, signal.outcome, readClock())
+
+    private fun handleInstances(live: List<LiveInstance>) {
+        updateOwnership()
+        leaseManager.handle(LeaseEvent.ContendersCounted(live.size))
+        ports.onInstances(live)
+    }
+
+    private fun updateOwnership() {
+        isLikelyOwner = isLikelyOwner(identity.name, models, instanceReader.live)
+    }
+
     private fun startDrain() {
         isLeaving = true
         leaseManager.handle(LeaseEvent.Release)
-        writeHeartbeat()
+        writeHeartbeat(MIN_HEARTBEAT_INTERVAL_MILLISECONDS)
     }
 
-    private fun writeHeartbeat() {
+    private fun writeHeartbeat(intervalMilliseconds: Long) {
         heartbeatCount++
         val heartbeat = InstanceHeartbeat(
             name = identity.name,
@@ -154,6 +201,7 @@
             leaving = isLeaving,
             capacity = identity.capacity,
             crashRecords = announcedCrashes,
+            intervalMilliseconds = intervalMilliseconds,
         )
         val value = recordJson.encodeToString(InstanceHeartbeat.serializer(), heartbeat)
         val row = RowWrite(StoreTables.INSTANCES, "", identity.name, value)
@@ -164,40 +212,12 @@
         }
     }
 
-    private fun readInstances() =
-        ports.store.readAllRows(RowRange(StoreTables.INSTANCES, "")) { offer(ControlSignal.InstancesRead(it)) }
-
-    private fun handleInstancesRead(outcome: Outcome<List<StoredRow>>) {
-        if (outcome is Outcome.Failure) {
-            ports.log.write(SOURCE, identity.name, "instances not read", "store", outcome.fault.toString())
-        }
-        if (outcome !is Outcome.Success) return
-        val previous = heartbeatTracker.liveInstances().map { LiveInstance(it.name, it.incarnation, it.capacity) }
-        heartbeatTracker =
-            heartbeatTracker.withReading(
-                outcome.value.mapNotNull { ports.log.decodeRecord(it, InstanceHeartbeat.serializer()) },
-            )
-        forwardCrashRecords()
-        val current = heartbeatTracker.liveInstances().map { LiveInstance(it.name, it.incarnation, it.capacity) }
-        if (current.toSet() == previous.toSet()) return
-        (current - previous.toSet()).forEach { ports.log.write(SOURCE, it.name, "instance alive", "store", "$it") }
-        (previous - current.toSet()).forEach { ports.log.write(SOURCE, it.name, "instance gone", "store", "$it") }
-        ports.onInstances(current)
-    }
-
-    private fun forwardCrashRecords() {
-        val records = heartbeatTracker.observed.values
-            .filter { it.heartbeat.name != identity.name }
-            .flatMap { it.heartbeat.crashRecords }
-        if (records == knownCrashes) return
-        knownCrashes = records
-        ports.onCrashRecords(records)
-    }
-
     private fun handleListsChanged(signal: ControlSignal.ListsChanged) {
         pools = signal.pools ?: pools
         engines = signal.backends ?: engines
         namedWeights = signal.namedWeights ?: namedWeights
+        models = pools.flatMapTo(mutableSetOf(NO_MODEL)) { pool -> pool.models }
+        updateOwnership()
         val enginePools = pools
             .filter { it.models.isNotEmpty() }
             .map { pool -> EnginePool(pool.models, engines.filter { it.pool == pool.name }) }
@@ -264,6 +284,9 @@
         private const val TICK_INTERVAL_MILLISECONDS = 250L
         private const val STOP_TIMEOUT_MILLISECONDS = 300L
 
+        /** Model of the jobs that name none. */
+        private const val NO_MODEL = ""
+
         /** Interval between writes of usage counts, in milliseconds; a crash loses at most this much usage. */
         private const val USAGE_WRITE_INTERVAL_MILLISECONDS = 1_000L
 
@@ -290,6 +313,7 @@
                 identity.name.hashCode(),
                 CONTENTION_DELAY_RANGE_MILLISECONDS,
             ).toLong(),
+        phaseMilliseconds = Math.floorMod(identity.name.hashCode().toLong(), settings.leaseMilliseconds),
     )
 
 /** Renewals per lease duration; the lease survives a lost renewal. */
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/ControlSignal.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/ControlSignal.kt
@@ -3,7 +3,8 @@
 import org.mulberrypin.decisions.leases.LeaseEvent
 import org.mulberrypin.decisions.weights.WeightEvent
 import org.mulberrypin.decisions.windows.UsageEvent
-import org.mulberrypin.platform.deployment.StoredRow
+import org.mulberrypin.platform.deployment.FeedResult
+import org.mulberrypin.platform.deployment.RowPage
 import org.mulberrypin.runtime.Outcome
 import org.mulberrypin.schema.generated.BackendServerEntry
 import org.mulberrypin.schema.generated.CrashRecord
@@ -27,9 +28,16 @@
         val event: UsageEvent,
     ) : ControlSignal
 
-    /** The result of reading the heartbeat table. */
+    /** A page of the heartbeat table was read. */
     data class InstancesRead(
-        val outcome: Outcome<List<StoredRow>>,
+        val callNumber: Long,
+        val outcome: Outcome<RowPage>,
+    ) : ControlSignal
+
+    /** The heartbeats that changed since the last reading. */
+    data class InstancesChanged(
+        val callNumber: Long,
+        val outcome: Outcome<FeedResult>,
     ) : ControlSignal
 
     /** The crash records that this instance announces changed. */
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
@@ -59,7 +59,8 @@
     traffic = TrafficDuty(identity, trafficPorts(store, backends, control, clock, log, registry))
     lateinit var follow: FollowDuty
     val readiness = InstanceReadiness { maxOf(traffic.millisecondsSinceTick(), follow.millisecondsSinceTick()) }
-    follow = FollowDuty(store, followOutlets(traffic, control, readiness), clock, log)
+    val feedWaitMilliseconds = feedWaitMilliseconds(settings.contactMilliseconds)
+    follow = FollowDuty(store, followOutlets(traffic, control, readiness), feedWaitMilliseconds, clock, log)
     registry.gauge("duty.tick.age.milliseconds", readiness) { it.millisecondsSinceTick().toDouble() }
     val server = frontServer(addresses(settings, metricsPort), frontPorts(traffic, readiness, registry))
     server.start().join()
@@ -103,9 +104,15 @@
     log: DecisionLog,
     traffic: () -> TrafficDuty,
 ): ControlPorts =
-    ControlPorts(store, backends, clock, log, { traffic().enqueue(TrafficEvent.LiveInstancesRead(it)) }) {
-        traffic().enqueue(TrafficEvent.CrashRecordsRead(it))
-    }
+    ControlPorts(
+        store = store,
+        backends = backends,
+        clock = clock,
+        log = log,
+        runsJobs = { traffic().runsJobs },
+        onInstances = { traffic().enqueue(TrafficEvent.LiveInstancesRead(it)) },
+        onCrashRecords = { traffic().enqueue(TrafficEvent.CrashRecordsRead(it)) },
+    )
 
 private fun trafficPorts(
     store: RowStore,
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/FollowDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/FollowDuty.kt
@@ -48,14 +48,15 @@
 internal class FollowDuty(
     private val store: RowStore,
     private val outlets: FollowOutlets,
+    feedWaitMilliseconds: Long,
     private val clock: ServiceClock,
     private val log: DecisionLog,
 ) {
     private val ring: BoundedRing<FollowSignal> = boundedRing("follow", RING_CAPACITY)
     private var tables = listOf(
-        FollowedTable(PlatformTables.OPERATOR, listOf("")),
-        FollowedTable(PlatformTables.BACKEND_SERVERS, listOf("")),
-        FollowedTable(StoreTables.JOBS, jobPartitions),
+        FollowedTable(PlatformTables.OPERATOR, listOf(""), feedWaitMilliseconds),
+        FollowedTable(PlatformTables.BACKEND_SERVERS, listOf(""), feedWaitMilliseconds),
+        FollowedTable(StoreTables.JOBS, jobPartitions, feedWaitMilliseconds),
     ).associateBy { it.table }
     private var backendEntries = LapsedEntries()
     private var configurationVersion = 0L
@@ -186,14 +187,28 @@
     ) {
         val previous = before.associateBy { it.id }
         val current = after.associateBy { it.id }
-        previous.keys.filter { it !in current }.forEach { log.write(SOURCE, it, "backend server gone", "store") }
-        after.filter { previous[it.id] != it }.forEach { entry ->
+        val gone = previous.keys.filter { it !in current }
+        val listed = after.filter { previous[it.id] != it }
+        if (gone.size + listed.size > MAX_SINGLE_LINES) return logManyChanges(gone, listed)
+        gone.forEach { log.write(SOURCE, it, "backend server gone", "store") }
+        listed.forEach { entry ->
             val weights = entry.models.joinToString(",") { "${it.name}:${it.version}" }
             val inputs = "pool=${entry.pool} address=${entry.address} leaving=${entry.leaving} weights=$weights"
             log.write(SOURCE, entry.id, "backend server listed", "store", inputs)
         }
     }
 
+    private fun logManyChanges(
+        gone: List<String>,
+        listed: List<BackendServerEntry>,
+    ) {
+        val goneInputs = boundedList(gone)
+        if (gone.isNotEmpty()) log.write(SOURCE, "${gone.size} servers", "backend server gone", "store", goneInputs)
+        if (listed.isEmpty()) return
+        val inputs = boundedList(listed.map { "${it.id}/${it.pool}/${it.address}/leaving=${it.leaving}" })
+        log.write(SOURCE, "${listed.size} servers", "backend server listed", "store", inputs)
+    }
+
     private fun publishJobs(
         before: FollowedTable,
         after: FollowedTable,
@@ -240,6 +255,9 @@
         private const val SOURCE = "follow"
         private const val RING_CAPACITY = 64
         private const val TICK_INTERVAL_MILLISECONDS = 100L
+
+        /** Number of changed backend servers up to which each has a log line of its own. */
+        private const val MAX_SINGLE_LINES = 2
         private const val STOP_TIMEOUT_MILLISECONDS = 300L
     }
 }
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/FollowTable.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/FollowTable.kt
@@ -16,6 +16,7 @@
  * State of one watched table.
  *
  * @property partitions partitions to scan
+ * @property feedWaitMilliseconds longest time for which the store may hold a call of the feed, in milliseconds
  * @property rows known rows by partition and key
  * @property unreadPartitions partitions that the current scan still has to read
  * @property fromKey key at which the next page of the current partition starts
@@ -30,6 +31,7 @@
 internal data class FollowedTable(
     val table: String,
     val partitions: List<String>,
+    val feedWaitMilliseconds: Long,
     val rows: Map<Pair<String, String>, StoredRow> = emptyMap(),
     val unreadPartitions: List<String> = partitions,
     val fromKey: String = "",
@@ -70,7 +72,7 @@
     val call = if (knownVersion == null) {
         FollowCall.Read(nextNumber, RowRange(table, unreadPartitions.first(), fromKey))
     } else {
-        FollowCall.Follow(nextNumber, FeedRequest(table, knownVersion, FEED_WAIT_MILLISECONDS))
+        FollowCall.Follow(nextNumber, FeedRequest(table, knownVersion, feedWaitMilliseconds))
     }
     return updated to call
 }
@@ -135,10 +137,19 @@
 private fun FollowedTable.withFailure(nowMilliseconds: Long): FollowedTable =
     copy(callNumber = 0, failures = failures + 1, retryAtMilliseconds = nowMilliseconds + RETRY_DELAY_MILLISECONDS)
 
-/** Long-poll wait of the feed, in milliseconds; a dead connection is detected shortly after it. */
-private const val FEED_WAIT_MILLISECONDS = 1_000L
+/**
+ * Returns the longest wait of a feed, in milliseconds. A silent connection is noticed shortly after this wait, which
+ * leaves the rest of [contactMilliseconds] to connect again and read what was missed.
+ */
+internal fun feedWaitMilliseconds(contactMilliseconds: Long): Long =
+    (contactMilliseconds / 2).coerceIn(MIN_FEED_WAIT_MILLISECONDS, MAX_FEED_WAIT_MILLISECONDS)
+
+private const val MIN_FEED_WAIT_MILLISECONDS = 500L
+
+/** Maximum of the wait, in milliseconds; a call counts as lost well after it. */
+private const val MAX_FEED_WAIT_MILLISECONDS = 2_000L
 
-/** Age of a call in flight that counts as lost, in milliseconds; three times the timeout of a call of the feed. */
+/** Age of a call in flight that counts as lost, in milliseconds; twice the longest timeout of a call of the feed. */
 private const val LOST_CALL_MILLISECONDS = 5_000L
 
 /** Delay before a retry after a failed call, in milliseconds; twenty times the store's usual response time. */
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
@@ -66,6 +66,10 @@
     val inFlightCount: Int
         get() = openCalls.get() + runningTasks.get()
 
+    /** Whether this instance runs batch jobs, as of the last tick. */
+    val runsJobs: Boolean
+        get() = ports.counters.jobs.get() > 0
+
     /** Number of signals queued for the duty. */
     val depth: Int
         get() = ring.depth
--- a/service/src/test/kotlin/org/mulberrypin/service/deployment/FollowTableTest.kt
+++ b/service/src/test/kotlin/org/mulberrypin/service/deployment/FollowTableTest.kt
@@ -11,7 +11,7 @@
 
 /** A followed table whose call never ends, as when the handler of its response fails. */
 class FollowTableTest {
-    private val scanning = FollowedTable("servers", listOf(""))
+    private val scanning = FollowedTable("servers", listOf(""), feedWaitMilliseconds = 1_000)
 
     @Test
     fun `a call in flight is not sent again before its timeout`() {
