--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
@@ -64,7 +64,8 @@
     traffic = TrafficDuty(identity, trafficPorts(store, backends, control, clock, log, registry), coldLimits)
     lateinit var follow: FollowDuty
     val readiness = InstanceReadiness { maxOf(traffic.millisecondsSinceTick(), follow.millisecondsSinceTick()) }
-    follow = FollowDuty(store, followOutlets(traffic, control, readiness), clock, log)
+    val feedWaitMilliseconds = feedWaitMilliseconds(settings.contactMilliseconds)
+    follow = FollowDuty(store, followOutlets(traffic, control, readiness), feedWaitMilliseconds, clock, log)
     registry.gauge("duty.tick.age.milliseconds", readiness) { it.millisecondsSinceTick().toDouble() }
     val server = frontServer(addresses(settings, metricsPort), frontPorts(traffic, readiness, registry))
     server.start().join()
@@ -108,9 +109,15 @@
     log: DecisionLog,
     traffic: () -> TrafficDuty,
 ): ControlPorts =
-    ControlPorts(store, backends, clock, log, { traffic().enqueue(TrafficEvent.LiveInstancesRead(it)) }) {
-        traffic().enqueue(TrafficEvent.CrashRecordsRead(it))
-    }
+    ControlPorts(
+        store = store,
+        backends = backends,
+        clock = clock,
+        log = log,
+        runsJobs = { traffic().runsJobs },
+        onInstances = { traffic().enqueue(TrafficEvent.LiveInstancesRead(it)) },
+        onCrashRecords = { traffic().enqueue(TrafficEvent.CrashRecordsRead(it)) },
+    )
 
 private fun trafficPorts(
     store: RowStore,
--- a/service/src/test/kotlin/org/mulberrypin/service/deployment/EvacuationRowsTest.kt
+++ b/service/src/test/kotlin/org/mulberrypin/service/deployment/EvacuationRowsTest.kt
@@ -32,6 +32,7 @@
         val scanned = FollowedTable(
             "op",
             listOf(""),
+            feedWaitMilliseconds = 1_000,
         ).nextCall(0)?.first?.applyPage(1, page(row("evacuate/a", "{}", 18)), 1)
         val following = checkNotNull(scanned?.nextCall(2)?.first)
         val older = StoredRow("op", "", "evacuate/a", "", 15, deleted = true)
@@ -72,7 +73,7 @@
             onJobs = { },
         )
         val clock = systemClock()
-        val follow = FollowDuty(store, outlets, clock, startDecisionLog("entry-1", clock)).start()
+        val follow = FollowDuty(store, outlets, FEED_WAIT_MILLISECONDS, clock, startDecisionLog("entry-1", clock)).start()
         val seen = (1..4).map { published.poll(WAIT_SECONDS, TimeUnit.SECONDS) }
         follow.stop()
         val both = "evacuated [zone-b, zone-c]"
@@ -92,6 +93,7 @@
 
     private companion object {
         private const val CONFIGURATION = """{"version":1,"routes":[],"services":[]}"""
+        private const val FEED_WAIT_MILLISECONDS = 1_000L
         private const val WAIT_SECONDS = 5L
     }
 }
