Check end to end that an evacuation stops weight orders and that a take-back resumes them

Cause: the control duty's part of the evacuation had no test. Change: the test of the whole path names a version while all servers are evacuated: no engine loads it, and both do once the evacuation is taken back.

--- a/command/src/test/kotlin/org/mulberrypin/command/deployment/EntryPathTest.kt
+++ b/command/src/test/kotlin/org/mulberrypin/command/deployment/EntryPathTest.kt
@@ -85,9 +85,12 @@
                 val response = environment.caller(instance).request("/orders/1", "id-1", CALLER_KEY)
                 response.status().code() == 503 && response.headers().get("retry-after") != null
             }
+            environment.store.write("op", "version/sorter", """{"model":"sorter","version":2}""")
             val executed = environment.plainService.executedRequests.size
             environment.caller(instance).request("/orders/1", "id-2", CALLER_KEY)
             expectThat(environment.plainService.executedRequests).hasSize(executed)
+            Thread.sleep(ORDER_MILLISECONDS)
+            expectThat(environment.engines.map { it.version.get() }).all { isEqualTo(1L) }
             environment.store.remove("op", "evacuate/zone-a")
             await("an answer", EVACUATION_MILLISECONDS) {
                 environment
@@ -96,6 +99,7 @@
                     .status()
                     .code() == 200
             }
+            await("version 2 at both engines") { environment.engines.all { it.version.get() == 2L } }
         }
     }
 
@@ -203,4 +207,7 @@
 /** Time within which an evacuation is in force on every instance, in milliseconds, as the deployments state it. */
 private const val EVACUATION_MILLISECONDS = 5_000L
 
+/** Time within which the holder of the lease orders engines to load a version that is named, in milliseconds. */
+private const val ORDER_MILLISECONDS = 2_000L
+
 private fun JsonObject.text(name: String): String = getValue(name).jsonPrimitive.content
