--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DecideTraffic.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DecideTraffic.kt
@@ -20,6 +20,7 @@
     when (event) {
         is TrafficEvent.ConfigurationChanged -> Transition(state.copy(routing = routingTableOf(event.configuration)))
         is TrafficEvent.VersionsNamed -> Transition(state.copy(namedVersions = event.versions).withExpectedLoads())
+        is TrafficEvent.DivisionsRead -> Transition(state.copy(divisions = event.shares).withExpectedLoads())
         is TrafficEvent.BackendsChanged -> state.updateBackends(event, nowMilliseconds)
         is TrafficEvent.ServerLeaving -> state.handleServerLeaving(event)
         is TrafficEvent.CrashRecordsRead -> state.mergeCrashRecords(event.records, nowMilliseconds, wallMilliseconds)
@@ -119,3 +120,4 @@
         .andThen { it.dispatchTasks(nowMilliseconds) }
         .andThen { it.moveTasks(nowMilliseconds) }
         .andThen { it.saveProgress(nowMilliseconds) }
+        .andThen { it.stateDemand(nowMilliseconds, wallMilliseconds) }
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ExpectedLoads.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ExpectedLoads.kt
@@ -13,7 +13,7 @@
     val entries = backends.values.map { it.entry }
     val pools = modelsByPool
         .filterValues { it.isNotEmpty() }
-        .map { (pool, models) -> EnginePool(models, entries.filter { it.pool == pool }) }
+        .map { (pool, models) -> EnginePool(models, entries.filter { it.pool == pool }, divisions[pool].orEmpty()) }
     val loading = pools
         .flatMap { dueLoads(it, namedVersions) }
         .take(maxConcurrentLoads(pools.sumOf { it.engines.size }))
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEffect.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEffect.kt
@@ -3,6 +3,7 @@
 import org.mulberrypin.schema.generated.JobRecord
 import org.mulberrypin.schema.generated.JobSubmission
 import org.mulberrypin.schema.generated.JobTask
+import org.mulberrypin.schema.generated.ModelDemand
 import org.mulberrypin.schema.generated.ScoringCall
 import org.mulberrypin.schema.generated.TaskPart
 
@@ -56,6 +57,11 @@
         val suspects: Map<String, CrashSuspect>,
     ) : TrafficEffect
 
+    /** State the work of this instance's jobs in place of what was stated before. */
+    public data class StateDemand(
+        val demands: List<ModelDemand>,
+    ) : TrafficEffect
+
     /** Read the body of a job submission whose route and key were accepted. */
     public data class ReadSubmission(
         val request: Long,
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEvent.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEvent.kt
@@ -204,6 +204,11 @@
         val connectionLost: Boolean = false,
     ) : TaskStreamEvent
 
+    /** Divisions of engines among models were read; [shares] has the thousandths of each model, by pool. */
+    public data class DivisionsRead(
+        val shares: Map<String, Map<String, Int>>,
+    ) : TrafficEvent
+
     /** The crash records that other instances announce were read. */
     public data class CrashRecordsRead(
         val records: List<CrashRecord>,
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficState.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficState.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
+import org.mulberrypin.decisions.division.DemandHistory
 import org.mulberrypin.schema.generated.JobRecord
 
 /**
@@ -17,6 +18,8 @@
  * @property namedVersions weight version that the engines should load, by model
  * @property suspects contents of client requests under which backend servers crashed, by digest
  * @property loadingServers engines that are expected to load weights now and refuse tasks meanwhile
+ * @property divisions shares of the models in the engines of a pool, in thousandths, by pool
+ * @property demandHistory work that the last steps of this instance's jobs asked for
  * @property liveInstances instances that are sending heartbeats
  * @property nextInternalRequest number of the next request that this instance originates; counts down from -1 so
  * that it never equals a request number of the front end
@@ -34,6 +37,8 @@
     val suspects: PersistentMap<String, CrashSuspect> = persistentMapOf(),
     val namedVersions: Map<String, Long> = emptyMap(),
     val loadingServers: Set<String> = emptySet(),
+    val divisions: Map<String, Map<String, Int>> = emptyMap(),
+    val demandHistory: DemandHistory = DemandHistory(),
     val liveInstances: List<LiveInstance> = emptyList(),
     val draining: Boolean = false,
     val nextInternalRequest: Long = -1,
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/weights/AssignModels.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/weights/AssignModels.kt
@@ -1,57 +1,79 @@
+/** Assigns one model to each engine of a pool, so that only a few engines load each new version. */
 package org.mulberrypin.decisions.weights
 
+import org.mulberrypin.decisions.division.engineCounts
+import org.mulberrypin.decisions.division.engineQuotas
 import org.mulberrypin.schema.generated.BackendServerEntry
 
 /**
- * Assigns one model to each engine of a pool, dividing the engines evenly among the models so that only a few engines
- * load each new version. An engine whose weights of one model are newer than those of its other models keeps that
- * model, unless engines with at least the same lead already fill the model's share.
+ * Assigns a model to each of [engines]. Their number for each model follows the shares of [pool]; without shares all
+ * models get the same. An engine keeps a model that it has been loading, unless the other engines that do so already
+ * fill the model's number.
  *
- * @param models models of the pool
+ * @param engines the pool's engines that may load weights
+ * @param targetVersions weight version that the engines should load, by model
  * @return the model of each engine, by the engine's identifier
  */
 public fun assignModels(
     engines: List<BackendServerEntry>,
-    models: List<String>,
+    pool: EnginePool,
+    targetVersions: Map<String, Long> = emptyMap(),
 ): Map<String, String> {
+    val models = pool.models.distinct().sorted()
     if (models.isEmpty() || engines.isEmpty()) return emptyMap()
-    val sorted = engines.sortedBy { it.id }
+    val holdings = holdingsOf(engines, models, targetVersions)
+    val held = holdings.mapNotNull { it.models.singleOrNull() }.groupingBy { it }.eachCount()
+    val remaining = HashMap(engineCounts(engineQuotas(engines.size, models, pool.shares), held))
     val assigned = LinkedHashMap<String, String>()
-    val remainingEngines = HashMap<String, Int>()
-    models.sorted().forEachIndexed { index, model ->
-        remainingEngines[model] = (sorted.size + models.size - 1 - index) / models.size
+
+    fun assign(
+        engine: String,
+        model: String,
+    ) {
+        assigned[engine] = model
+        remaining[model] = remaining.getValue(model) - 1
     }
-    for (engine in sorted.sortedByDescending { versionLead(it, models) }) {
-        val keptModel = modelWithNewestVersion(engine, models) ?: continue
-        val remaining = remainingEngines.getValue(keptModel)
-        if (remaining > 0) {
-            assigned[engine.id] = keptModel
-            remainingEngines[keptModel] = remaining - 1
-        }
+    // Engines that hold one model come first, as those that hold several can still serve any of them.
+    holdings.filter { it.models.isNotEmpty() }.forEach { holding ->
+        val model = holding.models.maxBy { remaining.getValue(it) }
+        if (remaining.getValue(model) > 0) assign(holding.engine, model)
     }
-    for (engine in sorted.filter { it.id !in assigned }) {
-        val model = models.sorted().maxBy { remainingEngines.getValue(it) }
-        assigned[engine.id] = model
-        remainingEngines[model] = remainingEngines.getValue(model) - 1
+    holdings.filter { it.engine !in assigned }.forEach { holding ->
+        assign(holding.engine, models.maxBy { remaining.getValue(it) })
     }
     return assigned
 }
 
-/** The model with the highest weight version on the engine; null if several models or none have it. */
-private fun modelWithNewestVersion(
-    engine: BackendServerEntry,
-    models: List<String>,
-): String? {
-    val served = engine.models.filter { it.name in models }
-    val newest = served.maxOfOrNull { it.version } ?: return null
-    return served.singleOrNull { it.version == newest }?.name
-}
+/**
+ * The models that an engine has been loading, as far as its weights show.
+ *
+ * @property lag versions between those weights and the newest ones
+ */
+private data class Holding(
+    val engine: String,
+    val models: List<String>,
+    val lag: Long,
+)
 
-/** Difference between the highest and the lowest weight version on the engine. */
-private fun versionLead(
-    engine: BackendServerEntry,
+/** The holdings of all engines: those of one model first, the newest weights first among these. */
+private fun holdingsOf(
+    engines: List<BackendServerEntry>,
     models: List<String>,
-): Long {
-    val versions = engine.models.filter { it.name in models }.map { it.version }
-    return (versions.maxOrNull() ?: 0) - (versions.minOrNull() ?: 0)
+    targetVersions: Map<String, Long>,
+): List<Holding> {
+    val newest = models.associateWith { model ->
+        maxOf(engines.maxOf { versionOf(it, model) }, targetVersions[model] ?: 0)
+    }
+    val oldest = models.associateWith { model -> engines.minOf { versionOf(it, model) } }
+    return engines
+        .map { engine ->
+            val loaded = models.filter { versionOf(engine, it) > oldest.getValue(it) }
+            val lags = loaded.associateWith { newest.getValue(it) - versionOf(engine, it) }
+            val least = lags.values.minOrNull() ?: 0
+            // A version that was just named is not loaded yet, so that a lag of one does not tell models apart.
+            Holding(engine.id, lags.filterValues { it <= maxOf(least, CURRENT_LAG) }.keys.toList(), least)
+        }.sortedWith(compareBy({ it.models.size }, { it.lag }, { it.engine }))
 }
+
+/** Versions by which weights may be behind the newest ones and still count as current. */
+private const val CURRENT_LAG = 1L
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/weights/DueLoad.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/weights/DueLoad.kt
@@ -16,7 +16,7 @@
     targetVersions: Map<String, Long>,
 ): List<DueLoad> {
     val available = pool.engines.filter { !it.leaving }.sortedBy { it.id }
-    val models = assignModels(available, pool.models)
+    val models = assignModels(available, pool, targetVersions)
     return available.mapNotNull { engine ->
         val model = models[engine.id]
         val version = model?.let(targetVersions::get)
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/weights/WeightState.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/weights/WeightState.kt
@@ -19,10 +19,15 @@
     val leavingServers: LeavingServers = LeavingServers(),
 )
 
-/** The engines of a pool and the models that they serve. */
+/**
+ * The engines of a pool and the models that they serve.
+ *
+ * @property shares shares of the models in the engines, in thousandths; empty if all have the same share
+ */
 public data class EnginePool(
     val models: List<String>,
     val engines: List<BackendServerEntry>,
+    val shares: Map<String, Int> = emptyMap(),
 )
 
 /**
--- a/decisions/src/test/kotlin/org/mulberrypin/decisions/weights/DecideWeightsTest.kt
+++ b/decisions/src/test/kotlin/org/mulberrypin/decisions/weights/DecideWeightsTest.kt
@@ -14,14 +14,14 @@
 
     @Test
     fun `divides the engines evenly among the models`() {
-        val assigned = assignModels((1..7).map { engine("e$it") }, models)
+        val assigned = assigned((1..7).map { engine("e$it") })
         expectThat(assigned.values.groupingBy { it }.eachCount()).isEqualTo(mapOf("a" to 3, "b" to 2, "c" to 2))
     }
 
     @Test
     fun `keeps a model on the engines that have its newest weights`() {
         val engines = (1..6).map { engine("e$it", b = if (it >= 5) 4 else 1) }
-        val assigned = assignModels(engines, models)
+        val assigned = assigned(engines)
         expectThat(assigned.filterValues { it == "b" }.keys).isEqualTo(setOf("e5", "e6"))
     }
 
@@ -71,6 +71,8 @@
         expectThat(later).isEqualTo(started.effects)
     }
 
+    private fun assigned(engines: List<BackendServerEntry>) = assignModels(engines, EnginePool(models, engines))
+
     private fun stateWith(targetVersions: Map<String, Long>): WeightState {
         val pool = EnginePool(models, (1..6).map { engine("e$it") })
         return decideWeights(WeightState(), WeightEvent.ListsChanged(targetVersions, listOf(pool)), 0).state
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/ControlDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/ControlDuty.kt
@@ -34,6 +34,7 @@
 import org.mulberrypin.schema.generated.BackendServerEntry
 import org.mulberrypin.schema.generated.CrashRecord
 import org.mulberrypin.schema.generated.InstanceHeartbeat
+import org.mulberrypin.schema.generated.ModelDemand
 import org.mulberrypin.schema.generated.NamedWeights
 import org.mulberrypin.schema.generated.ServingPool
 
@@ -42,6 +43,7 @@
  *
  * @property onInstances called on the control thread with the live instances whenever their list changes
  * @property onCrashRecords called on the control thread whenever the crash records of the other instances change
+ * @property onDivisions called on the control thread with the shares of the models, by pool, whenever they change
  */
 internal data class ControlPorts(
     val store: RowStore,
@@ -49,6 +51,8 @@
     val clock: ServiceClock,
     val log: DecisionLog,
     val onInstances: (List<LiveInstance>) -> Unit,
+    val divisionGauges: DivisionGauges,
+    val onDivisions: (Map<String, Map<String, Int>>) -> Unit,
     val onCrashRecords: (List<CrashRecord>) -> Unit,
 )
 
@@ -76,11 +80,23 @@
             ::currentHold,
         ) { offer(ControlSignal.Usage(it)) },
     )
+    private val divisionManager = DivisionManager(
+        DivisionPorts(
+            ports.store,
+            ports.clock,
+            ports.log,
+            ::currentHold,
+            { offer(ControlSignal.Division(it)) },
+            ::handleDivisions,
+            ports.divisionGauges,
+        ),
+    )
     private var weightState = WeightState()
     private var heartbeatTracker = HeartbeatTracker()
     private var pools = emptyList<ServingPool>()
     private var engines = emptyList<BackendServerEntry>()
     private var namedWeights = emptyList<NamedWeights>()
+    private var statedDemands = emptyList<ModelDemand>()
     private var announcedCrashes = emptyList<CrashRecord>()
     private var knownCrashes = emptyList<CrashRecord>()
     private var heartbeatCount = 0L
@@ -118,6 +134,8 @@
             is ControlSignal.Usage -> usageManager.handle(signal.event)
             is ControlSignal.InstancesRead -> handleInstancesRead(signal.outcome)
             is ControlSignal.ListsChanged -> handleListsChanged(signal)
+            is ControlSignal.DemandStated -> statedDemands = signal.demands
+            is ControlSignal.Division -> divisionManager.handle(signal.event)
             is ControlSignal.CrashesAnnounced -> announcedCrashes = signal.records
             ControlSignal.DrainStarted -> startDrain()
         }
@@ -125,6 +143,7 @@
 
     private fun tick() {
         leaseManager.handle(LeaseEvent.Tick)
+        divisionManager.tick(runsJobs = statedDemands.isNotEmpty())
         handleWeightEvent(if (currentHold() == null) WeightEvent.LeaseLost else WeightEvent.Tick)
         val now = ports.clock.readMilliseconds()
         if (now >= nextHeartbeatMilliseconds) {
@@ -154,6 +173,7 @@
             leaving = isLeaving,
             capacity = identity.capacity,
             crashRecords = announcedCrashes,
+            demands = statedDemands,
         )
         val value = recordJson.encodeToString(InstanceHeartbeat.serializer(), heartbeat)
         val row = RowWrite(StoreTables.INSTANCES, "", identity.name, value)
@@ -178,6 +198,7 @@
                 outcome.value.mapNotNull { ports.log.decodeRecord(it, InstanceHeartbeat.serializer()) },
             )
         forwardCrashRecords()
+        divisionManager.readDemand(heartbeatTracker.liveInstances())
         val current = heartbeatTracker.liveInstances().map { LiveInstance(it.name, it.incarnation, it.capacity) }
         if (current.toSet() == previous.toSet()) return
         (current - previous.toSet()).forEach { ports.log.write(SOURCE, it.name, "instance alive", "store", "$it") }
@@ -198,9 +219,22 @@
         pools = signal.pools ?: pools
         engines = signal.backends ?: engines
         namedWeights = signal.namedWeights ?: namedWeights
+        divisionManager.updateLists(pools, engines)
+        updateWeights()
+    }
+
+    private fun handleDivisions(shares: Map<String, Map<String, Int>>) {
+        updateWeights()
+        ports.onDivisions(shares)
+    }
+
+    private fun updateWeights() {
+        val shares = divisionManager.shares
         val enginePools = pools
             .filter { it.models.isNotEmpty() }
-            .map { pool -> EnginePool(pool.models, engines.filter { it.pool == pool.name }) }
+            .map { pool ->
+                EnginePool(pool.models, engines.filter { it.pool == pool.name }, shares[pool.name].orEmpty())
+            }
         handleWeightEvent(WeightEvent.ListsChanged(namedWeights.associate { it.model to it.version }, enginePools))
         if (currentHold() != null) handleWeightEvent(WeightEvent.Tick)
     }
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/ControlSignal.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/ControlSignal.kt
@@ -1,5 +1,6 @@
 package org.mulberrypin.service.deployment
 
+import org.mulberrypin.decisions.division.DivisionEvent
 import org.mulberrypin.decisions.leases.LeaseEvent
 import org.mulberrypin.decisions.weights.WeightEvent
 import org.mulberrypin.decisions.windows.UsageEvent
@@ -7,6 +8,7 @@
 import org.mulberrypin.runtime.Outcome
 import org.mulberrypin.schema.generated.BackendServerEntry
 import org.mulberrypin.schema.generated.CrashRecord
+import org.mulberrypin.schema.generated.ModelDemand
 import org.mulberrypin.schema.generated.NamedWeights
 import org.mulberrypin.schema.generated.ServingPool
 
@@ -37,6 +39,16 @@
         val records: List<CrashRecord>,
     ) : ControlSignal
 
+    /** The work of this instance's batch jobs, by model, changed. */
+    data class DemandStated(
+        val demands: List<ModelDemand>,
+    ) : ControlSignal
+
+    /** An event for the division of engines among models. */
+    data class Division(
+        val event: DivisionEvent,
+    ) : ControlSignal
+
     /** One of the platform's lists changed; a null list is unchanged. */
     data class ListsChanged(
         val pools: List<ServingPool>? = null,
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
@@ -2,6 +2,7 @@
 package org.mulberrypin.service.deployment
 
 import com.linecorp.armeria.server.Server
+import io.micrometer.core.instrument.MeterRegistry
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import org.mulberrypin.decisions.traffic.InstanceIdentity
@@ -55,7 +56,7 @@
     val clients = httpClients(onLeaving)
     val store = httpRowStore(clients(settings.storeAddress), settings.storeAddress)
     val backends = httpBackendCalls(clients, settings.usageAddress, httpClients(onLeaving))
-    control = ControlDuty(identity, settings, controlPorts(store, backends, clock, log) { traffic })
+    control = ControlDuty(identity, settings, controlPorts(store, backends, clock, log, registry) { traffic })
     traffic = TrafficDuty(identity, trafficPorts(store, backends, control, clock, log, registry))
     lateinit var follow: FollowDuty
     val readiness = InstanceReadiness { maxOf(traffic.millisecondsSinceTick(), follow.millisecondsSinceTick()) }
@@ -101,11 +102,19 @@
     backends: BackendCalls,
     clock: ServiceClock,
     log: DecisionLog,
+    registry: MeterRegistry,
     traffic: () -> TrafficDuty,
 ): ControlPorts =
-    ControlPorts(store, backends, clock, log, { traffic().enqueue(TrafficEvent.LiveInstancesRead(it)) }) {
-        traffic().enqueue(TrafficEvent.CrashRecordsRead(it))
-    }
+    ControlPorts(
+        store = store,
+        backends = backends,
+        clock = clock,
+        log = log,
+        onInstances = { traffic().enqueue(TrafficEvent.LiveInstancesRead(it)) },
+        divisionGauges = divisionGauges(registry),
+        onDivisions = { traffic().enqueue(TrafficEvent.DivisionsRead(it)) },
+        onCrashRecords = { traffic().enqueue(TrafficEvent.CrashRecordsRead(it)) },
+    )
 
 private fun trafficPorts(
     store: RowStore,
@@ -115,9 +124,16 @@
     log: DecisionLog,
     registry: PrometheusMeterRegistry,
 ): TrafficPorts =
-    TrafficPorts(store, backends, control::countUsage, clock, log, trafficCounters(registry)) {
-        control.offer(ControlSignal.CrashesAnnounced(it))
-    }
+    TrafficPorts(
+        store = store,
+        backends = backends,
+        countUsage = control::countUsage,
+        clock = clock,
+        log = log,
+        counters = trafficCounters(registry),
+        announceCrashes = { control.offer(ControlSignal.CrashesAnnounced(it)) },
+        stateDemand = { control.offer(ControlSignal.DemandStated(it)) },
+    )
 
 private fun identityOf(
     settings: DeploymentSettings,
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/StoreTables.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/StoreTables.kt
@@ -21,6 +21,9 @@
     /** Leases of singleton duties, keyed by lease name. */
     const val LEASES = "leases"
 
+    /** Divisions of engines among models, keyed by pool. */
+    const val DIVISION = "division"
+
     /** Request counts, one partition per usage window, keyed by instance and incarnation. */
     const val USAGE = "usage"
 
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
@@ -23,6 +23,7 @@
 import org.mulberrypin.runtime.startDuty
 import org.mulberrypin.schema.generated.CrashRecord
 import org.mulberrypin.schema.generated.JobRecord
+import org.mulberrypin.schema.generated.ModelDemand
 import java.time.Duration
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
@@ -31,6 +32,7 @@
  * Dependencies of the traffic duty.
  *
  * @property announceCrashes replaces the crash records that the other instances read
+ * @property stateDemand replaces the work of this instance's jobs that the other instances read
  */
 internal data class TrafficPorts(
     val store: RowStore,
@@ -40,6 +42,7 @@
     val log: DecisionLog,
     val counters: TrafficCounters,
     val announceCrashes: (List<CrashRecord>) -> Unit,
+    val stateDemand: (List<ModelDemand>) -> Unit,
 )
 
 /** Forwards callers' requests and runs batch jobs. Only [submit] and [enqueue] may be called from other threads. */
@@ -215,6 +218,10 @@
                 ports.announceCrashes(crashRecords(effect, ports.clock))
             }
 
+            is TrafficEffect.StateDemand -> {
+                ports.stateDemand(effect.demands)
+            }
+
             is TrafficEffect.RecordDecision -> {
                 ports.log.write(SOURCE, effect.subject, effect.decision, effect.peer, effect.inputs)
             }
--- a/service/src/test/kotlin/org/mulberrypin/service/deployment/JobCallsTest.kt
+++ b/service/src/test/kotlin/org/mulberrypin/service/deployment/JobCallsTest.kt
@@ -50,6 +50,7 @@
                 log,
                 trafficCounters(SimpleMeterRegistry()),
                 {},
+                {},
             )
         val state = TrafficState(InstanceIdentity("entry-1", 1, "zone-a"))
         val calls = JobCalls(JobStore(store, log), ports, { state }, {}, { _, reply -> replies.add(reply) })
