--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/division/DecideDivision.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/division/DecideDivision.kt
@@ -1,7 +1,7 @@
 /**
  * Divides the engines of each pool among its models by demand. Every instance adds up the demand, so that a new holder
- * of the control lease knows it; the holder alone writes divisions. A division in the store stays in force until another
- * one differs from it by a good part of an engine for some time, also while the store or the holder is away.
+ * of the control lease knows it; the holder alone writes divisions. A division in the store stays in force until
+ * another one differs from it by a good part of an engine for some time, also while the store or the holder is away.
  */
 package org.mulberrypin.decisions.division
 
@@ -43,9 +43,15 @@
     val plausible = event.demands.values
         .flatten()
         .filter(::isPlausible)
+    val since = if (last == null) nowMilliseconds else demandSinceMilliseconds
     val next = copy(
-        demand = smoothDemand(demand.takeIf { last != null }.orEmpty(), plausible, nowMilliseconds - (last ?: 0)),
-        demandSinceMilliseconds = if (last == null) nowMilliseconds else demandSinceMilliseconds,
+        demand = smoothDemand(
+            smoothed = demand.takeIf { last != null }.orEmpty(),
+            demands = plausible,
+            elapsedMilliseconds = nowMilliseconds - (last ?: nowMilliseconds),
+            watchedMilliseconds = nowMilliseconds - since,
+        ),
+        demandSinceMilliseconds = since,
         demandReadMilliseconds = nowMilliseconds,
         implausible = ignored.mapTo(HashSet()) { (instance, demand) -> instance to demand.model },
     )
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/division/SumDemand.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/division/SumDemand.kt
@@ -7,27 +7,6 @@
 import org.mulberrypin.schema.generated.ModelDemand
 import kotlin.math.exp
 
-/**
- * Smoothed demand for one model over all instances.
- *
- * @property tokensPerSecond output tokens that recent steps asked for each second
- * @property remainingTokens output tokens that open jobs still ask for
- * @property waitingTasks tasks that wait for an engine
- * @property runningTasks tasks that run
- * @property taskTokensPerSecond output tokens that one task gets each second; 0 if unknown
- */
-public data class SmoothedDemand(
-    val tokensPerSecond: Double = 0.0,
-    val remainingTokens: Double = 0.0,
-    val waitingTasks: Double = 0.0,
-    val runningTasks: Double = 0.0,
-    val taskTokensPerSecond: Double = 0.0,
-) {
-    /** Tokens that the model's engines have to generate each second to keep up and to work off what is open. */
-    val work: Double
-        get() = tokensPerSecond + remainingTokens / BACKLOG_SECONDS
-}
-
 /** Whether all figures of a statement are in a range that a deployment can reach. */
 public fun isPlausible(demand: ModelDemand): Boolean =
     demand.model.isNotEmpty() &&
@@ -37,13 +16,19 @@
         demand.tokensPerSecond in 0.0..MAX_TOKENS_PER_SECOND &&
         demand.taskTokensPerSecond in 0.0..MAX_TOKENS_PER_SECOND
 
-/** Moves [smoothed] towards [demands], which were read [elapsedMilliseconds] after the last ones. */
+/**
+ * Moves [smoothed] towards [demands], which were read [elapsedMilliseconds] after the last ones. At first, while demand
+ * has been read for [watchedMilliseconds] only, this gives the mean, so that the first reading has no more weight than
+ * the others.
+ */
 internal fun smoothDemand(
     smoothed: Map<String, SmoothedDemand>,
     demands: List<ModelDemand>,
     elapsedMilliseconds: Long,
+    watchedMilliseconds: Long,
 ): Map<String, SmoothedDemand> {
-    val weight = 1 - exp(-elapsedMilliseconds / SMOOTHING_MILLISECONDS)
+    val meanWeight = elapsedMilliseconds.toDouble() / watchedMilliseconds.coerceAtLeast(1)
+    val weight = maxOf(1 - exp(-elapsedMilliseconds / SMOOTHING_MILLISECONDS), meanWeight).coerceAtMost(1.0)
     val stated = demands.groupBy { it.model }
     return (smoothed.keys + stated.keys).associateWith { model ->
         val current = sum(stated[model].orEmpty())
@@ -107,9 +92,6 @@
 /** Time over which demand is smoothed, in milliseconds: somewhat more than the usual interval between steps. */
 private const val SMOOTHING_MILLISECONDS = 5_000.0
 
-/** Time within which open work should be done, in seconds: that in which a step is due. */
-private const val BACKLOG_SECONDS = 7.5
-
 /** Work below which a pool counts as idle and keeps its division, in tokens a second. */
 private const val MIN_WORK = 1.0
 
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DecideTraffic.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DecideTraffic.kt
@@ -20,7 +20,6 @@
     when (event) {
         is TrafficEvent.ConfigurationChanged -> Transition(state.copy(routing = routingTableOf(event.configuration)))
         is TrafficEvent.VersionsNamed -> Transition(state.copy(namedVersions = event.versions).withExpectedLoads())
-        is TrafficEvent.DivisionsRead -> Transition(state.copy(divisions = event.shares).withExpectedLoads())
         is TrafficEvent.BackendsChanged -> state.updateBackends(event, nowMilliseconds)
         is TrafficEvent.ServerLeaving -> state.handleServerLeaving(event)
         is TrafficEvent.CrashRecordsRead -> state.mergeCrashRecords(event.records, nowMilliseconds, wallMilliseconds)
@@ -54,6 +53,7 @@
         is TrafficEvent.JobStored -> handleJobStored(event, nowMilliseconds)
         is TrafficEvent.JobRowsRead -> handleJobRows(event.rows, nowMilliseconds)
         is TrafficEvent.JobLoaded -> loadJob(event, nowMilliseconds)
+        is TrafficEvent.DivisionsRead -> Transition(copy(divisions = event.shares).withExpectedLoads())
         is TrafficEvent.JobLoadFailed -> handleJobLoadFailure(event)
         is TrafficEvent.ResultsWritten -> handleResultsWritten(event, nowMilliseconds)
         is TrafficEvent.ResultsWriteFailed -> handleResultsWriteFailure(event, nowMilliseconds)
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEvent.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEvent.kt
@@ -207,7 +207,7 @@
     /** Divisions of engines among models were read; [shares] has the thousandths of each model, by pool. */
     public data class DivisionsRead(
         val shares: Map<String, Map<String, Int>>,
-    ) : TrafficEvent
+    ) : JobEvent
 
     /** The crash records that other instances announce were read. */
     public data class CrashRecordsRead(
