--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/DivisionManager.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/DivisionManager.kt
@@ -86,7 +86,7 @@
         ports.gauges.showDemand(state.demand)
     }
 
-    /** Reads the divisions while this instance decides them or chooses engines for tasks; [runsJobs] tells the latter. */
+    /** Reads the divisions while this instance decides them, or chooses engines for tasks since it [runsJobs]. */
     fun tick(runsJobs: Boolean) {
         val hold = ports.currentHold()
         val now = ports.clock.readMilliseconds()
