Order engines from the lease holder

SupplyManager runs the decision on the control duty and calls the platform with the fencing token of the lease, which it checks again before each call. Gauges show the expected and the serving engines of each pool.

--- a/command/src/main/kotlin/org/mulberrypin/command/EntryCommand.kt
+++ b/command/src/main/kotlin/org/mulberrypin/command/EntryCommand.kt
@@ -50,7 +50,7 @@
     // Armeria's shutdown hook would close its clients before the graceful shutdown has written to the store.
     ClientFactory.disableShutdownHook()
     val instance = try {
-        startDeploymentInstance(settings, options.metricsPort, systemClock())
+        startDeploymentInstance(settings, options.metricsPort, systemClock(), options.engineOrders)
     } catch (failure: RuntimeException) {
         // Return an exit code: after an exception, threads that were already started would keep the process alive
         // although it does not serve requests.
--- a/command/src/main/kotlin/org/mulberrypin/command/EntryOptions.kt
+++ b/command/src/main/kotlin/org/mulberrypin/command/EntryOptions.kt
@@ -1,6 +1,7 @@
 package org.mulberrypin.command
 
 import org.kohsuke.args4j.Option
+import org.mulberrypin.decisions.capacity.CapacityMode
 
 /** Options of `entry`. */
 internal data class EntryOptions(
@@ -10,4 +11,10 @@
     var runMilliseconds: Long = 0,
     @field:Option(name = "--settings", metaVar = "FILE", usage = "settings file; default: the path set by the platform")
     var file: String = "",
+    @field:Option(
+        name = "--engine-orders",
+        metaVar = "WHAT",
+        usage = "engines to order where the platform takes orders: off, replace (those lost) or demand",
+    )
+    var engineOrders: CapacityMode = CapacityMode.REPLACE,
 ) : CommandOptions
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/ControlDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/ControlDuty.kt
@@ -1,5 +1,6 @@
 package org.mulberrypin.service.deployment
 
+import org.mulberrypin.decisions.capacity.CapacityMode
 import org.mulberrypin.decisions.instances.HeartbeatTracker
 import org.mulberrypin.decisions.instances.heartbeatMilliseconds
 import org.mulberrypin.decisions.instances.liveInstances
@@ -43,6 +44,7 @@
  *
  * @property onInstances called on the control thread with the live instances whenever their list changes
  * @property onCrashRecords called on the control thread whenever the crash records of the other instances change
+ * @property capacityMode what is ordered where the settings list the duty
  * @property onDivisions called on the control thread with the shares of the models, by pool, whenever they change
  */
 internal data class ControlPorts(
@@ -51,6 +53,7 @@
     val clock: ServiceClock,
     val log: DecisionLog,
     val onInstances: (List<LiveInstance>) -> Unit,
+    val capacityMode: CapacityMode,
     val divisionGauges: DivisionGauges,
     val onDivisions: (Map<String, Map<String, Int>>) -> Unit,
     val onCrashRecords: (List<CrashRecord>) -> Unit,
@@ -91,6 +94,18 @@
             ports.divisionGauges,
         ),
     )
+    private val supplyManager = SupplyManager(
+        identity.name,
+        if (settings.supplyAddress == null) CapacityMode.OFF else ports.capacityMode,
+        SupplyPorts(
+            ports.backends,
+            ports.clock,
+            ports.log,
+            ::currentHold,
+            { offer(ControlSignal.Supply(it)) },
+            ports.divisionGauges.showCapacity,
+        ),
+    )
     private var weightState = WeightState()
     private var heartbeatTracker = HeartbeatTracker()
     private var pools = emptyList<ServingPool>()
@@ -135,6 +150,7 @@
             is ControlSignal.InstancesRead -> handleInstancesRead(signal.outcome)
             is ControlSignal.ListsChanged -> handleListsChanged(signal)
             is ControlSignal.DemandStated -> statedDemands = signal.demands
+            is ControlSignal.Supply -> supplyManager.handle(signal.event)
             is ControlSignal.Division -> divisionManager.handle(signal.event)
             is ControlSignal.CrashesAnnounced -> announcedCrashes = signal.records
             ControlSignal.DrainStarted -> startDrain()
@@ -144,6 +160,7 @@
     private fun tick() {
         leaseManager.handle(LeaseEvent.Tick)
         divisionManager.tick(runsJobs = statedDemands.isNotEmpty())
+        supplyManager.tick(divisionManager.demand)
         handleWeightEvent(if (currentHold() == null) WeightEvent.LeaseLost else WeightEvent.Tick)
         val now = ports.clock.readMilliseconds()
         if (now >= nextHeartbeatMilliseconds) {
@@ -220,6 +237,7 @@
         engines = signal.backends ?: engines
         namedWeights = signal.namedWeights ?: namedWeights
         divisionManager.updateLists(pools, engines)
+        supplyManager.updateLists(pools, engines)
         updateWeights()
     }
 
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/ControlSignal.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/ControlSignal.kt
@@ -1,5 +1,6 @@
 package org.mulberrypin.service.deployment
 
+import org.mulberrypin.decisions.capacity.CapacityEvent
 import org.mulberrypin.decisions.division.DivisionEvent
 import org.mulberrypin.decisions.leases.LeaseEvent
 import org.mulberrypin.decisions.weights.WeightEvent
@@ -49,6 +50,11 @@
         val event: DivisionEvent,
     ) : ControlSignal
 
+    /** An event for the orders of engines. */
+    data class Supply(
+        val event: CapacityEvent,
+    ) : ControlSignal
+
     /** One of the platform's lists changed; a null list is unchanged. */
     data class ListsChanged(
         val pools: List<ServingPool>? = null,
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
@@ -5,6 +5,7 @@
 import io.micrometer.core.instrument.MeterRegistry
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import org.mulberrypin.decisions.capacity.CapacityMode
 import org.mulberrypin.decisions.traffic.InstanceIdentity
 import org.mulberrypin.decisions.traffic.TrafficEvent
 import org.mulberrypin.decisions.weights.WeightEvent
@@ -41,11 +42,15 @@
     val drainAndStop: () -> Unit,
 )
 
-/** Starts an entry instance and serves metrics at [metricsPort]; 0 disables metrics. */
+/**
+ * Starts an entry instance and serves metrics at [metricsPort]; 0 disables metrics. [capacityMode] tells what is
+ * ordered from the platform where the settings list that duty.
+ */
 public fun startDeploymentInstance(
     settings: DeploymentSettings,
     metricsPort: Int,
     clock: ServiceClock,
+    capacityMode: CapacityMode = CapacityMode.REPLACE,
 ): DeploymentInstance {
     val identity = identityOf(settings, clock)
     val log = startDecisionLog(identity.name, clock)
@@ -55,8 +60,9 @@
     val onLeaving = leavingListener({ traffic }, { control })
     val clients = httpClients(onLeaving)
     val store = httpRowStore(clients(settings.storeAddress), settings.storeAddress)
-    val backends = httpBackendCalls(clients, settings.usageAddress, httpClients(onLeaving))
-    control = ControlDuty(identity, settings, controlPorts(store, backends, clock, log, registry) { traffic })
+    val backends = httpBackendCalls(clients, settings.usageAddress, httpClients(onLeaving), settings.supplyAddress)
+    control =
+        ControlDuty(identity, settings, controlPorts(store, backends, clock, log, registry, capacityMode) { traffic })
     traffic = TrafficDuty(identity, trafficPorts(store, backends, control, clock, log, registry))
     lateinit var follow: FollowDuty
     val readiness = InstanceReadiness { maxOf(traffic.millisecondsSinceTick(), follow.millisecondsSinceTick()) }
@@ -103,6 +109,7 @@
     clock: ServiceClock,
     log: DecisionLog,
     registry: MeterRegistry,
+    capacityMode: CapacityMode,
     traffic: () -> TrafficDuty,
 ): ControlPorts =
     ControlPorts(
@@ -111,6 +118,7 @@
         clock = clock,
         log = log,
         onInstances = { traffic().enqueue(TrafficEvent.LiveInstancesRead(it)) },
+        capacityMode = capacityMode,
         divisionGauges = divisionGauges(registry),
         onDivisions = { traffic().enqueue(TrafficEvent.DivisionsRead(it)) },
         onCrashRecords = { traffic().enqueue(TrafficEvent.CrashRecordsRead(it)) },
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/DivisionGauges.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/DivisionGauges.kt
@@ -7,14 +7,16 @@
 import java.util.concurrent.atomic.AtomicInteger
 
 /**
- * Gauges of the division of engines among models.
+ * Gauges of the division of engines among models and of their supply.
  *
  * @property showShares shows the shares in force in thousandths, by pool and model
  * @property showDemand shows the smoothed demand, by model
+ * @property showCapacity shows the numbers of engines of a pool that should serve and that serve
  */
 internal data class DivisionGauges(
     val showShares: (Map<String, Map<String, Int>>) -> Unit,
     val showDemand: (Map<String, SmoothedDemand>) -> Unit,
+    val showCapacity: (pool: String, expected: Int, serving: Int) -> Unit,
 )
 
 /** Registers the gauges of the division; each appears with its first value. */
@@ -39,5 +41,9 @@
                 show("mulberrypin_demand_tokens_per_second", Tags.of("model", model), demand.work.toInt())
             }
         },
+        showCapacity = { pool, expected, serving ->
+            show("mulberrypin_engines_expected", Tags.of("pool", pool), expected)
+            show("mulberrypin_engines_serving", Tags.of("pool", pool), serving)
+        },
     )
 }
--- a/service/src/test/kotlin/org/mulberrypin/service/deployment/JobCallsTest.kt
+++ b/service/src/test/kotlin/org/mulberrypin/service/deployment/JobCallsTest.kt
@@ -61,6 +61,6 @@
 
     private companion object {
         private val unusedBackendCalls =
-            BackendCalls({ _, _ -> {} }, { _, _ -> {} }, { _, _, _ -> }, { _, _ -> }, { _, _ -> })
+            BackendCalls({ _, _ -> {} }, { _, _ -> {} }, { _, _, _ -> }, { _, _ -> }, { _, _ -> }, { _, _ -> })
     }
 }
--- a/service/src/test/kotlin/org/mulberrypin/service/deployment/StoreRecordsTest.kt
+++ b/service/src/test/kotlin/org/mulberrypin/service/deployment/StoreRecordsTest.kt
@@ -79,6 +79,6 @@
         private const val SETTLE_MILLISECONDS = 3_100L
         private val parameters = LeaseParameters("control", "entry-1", 1, 3_000, 750, 0.01, 1_000)
         private val unusedBackendCalls =
-            BackendCalls({ _, _ -> {} }, { _, _ -> {} }, { _, _, _ -> }, { _, _ -> }, { _, _ -> })
+            BackendCalls({ _, _ -> {} }, { _, _ -> {} }, { _, _, _ -> }, { _, _ -> }, { _, _ -> }, { _, _ -> })
     }
 }
