--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DecideTraffic.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DecideTraffic.kt
@@ -116,6 +116,7 @@
         is TrafficEvent.JobStored -> handleJobStored(event, nowMilliseconds)
         is TrafficEvent.JobRowsRead -> handleJobRows(event.rows, nowMilliseconds)
         is TrafficEvent.JobLoaded -> loadJob(event, nowMilliseconds)
+        is TrafficEvent.DivisionsRead -> Transition(copy(divisions = event.shares).withExpectedLoads())
         is TrafficEvent.JobLoadFailed -> handleJobLoadFailure(event)
         is TrafficEvent.ResultsWritten -> handleResultsWritten(event, nowMilliseconds)
         is TrafficEvent.ResultsWriteFailed -> handleResultsWriteFailure(event, nowMilliseconds)
@@ -187,3 +188,4 @@
         .andThen { it.dispatchTasks(nowMilliseconds) }
         .andThen { it.moveTasks(nowMilliseconds) }
         .andThen { it.saveProgress(nowMilliseconds) }
+        .andThen { it.stateDemand(nowMilliseconds, wallMilliseconds) }
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/ControlDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/ControlDuty.kt
@@ -1,5 +1,6 @@
 package org.mulberrypin.service.deployment
 
+import org.mulberrypin.decisions.capacity.CapacityMode
 import org.mulberrypin.decisions.instances.HeartbeatCadence
 import org.mulberrypin.decisions.instances.LIKELY_OWNERS
 import org.mulberrypin.decisions.instances.MIN_HEARTBEAT_INTERVAL_MILLISECONDS
@@ -33,6 +34,7 @@
 import org.mulberrypin.schema.generated.BackendServerEntry
 import org.mulberrypin.schema.generated.CrashRecord
 import org.mulberrypin.schema.generated.InstanceHeartbeat
+import org.mulberrypin.schema.generated.ModelDemand
 import org.mulberrypin.schema.generated.NamedWeights
 import org.mulberrypin.schema.generated.ServingPool
 
@@ -42,6 +44,8 @@
  * @property runsJobs whether this instance runs batch jobs
  * @property onInstances called on the control thread with the live instances whenever their list changes
  * @property onCrashRecords called on the control thread whenever the crash records of the other instances change
+ * @property capacityMode what is ordered where the settings list the duty
+ * @property onDivisions called on the control thread with the shares of the models, by pool, whenever they change
  */
 internal data class ControlPorts(
     val store: RowStore,
@@ -50,6 +54,9 @@
     val log: DecisionLog,
     val runsJobs: () -> Boolean,
     val onInstances: (List<LiveInstance>) -> Unit,
+    val capacityMode: CapacityMode,
+    val divisionGauges: DivisionGauges,
+    val onDivisions: (Map<String, Map<String, Int>>) -> Unit,
     val onCrashRecords: (List<CrashRecord>) -> Unit,
 )
 
@@ -79,13 +86,44 @@
     )
     private val instanceReader = InstanceReader(
         identity.name,
-        InstanceReaderPorts(ports.store, ports.log, ::offer, ::handleInstances, ports.onCrashRecords),
+        InstanceReaderPorts(
+            ports.store,
+            ports.log,
+            ::offer,
+            onHeartbeats = { divisionManager.readDemand(it) },
+            onInstances = ::handleInstances,
+            onCrashRecords = ports.onCrashRecords,
+        ),
+    )
+    private val divisionManager = DivisionManager(
+        DivisionPorts(
+            ports.store,
+            ports.clock,
+            ports.log,
+            ::currentHold,
+            { offer(ControlSignal.Division(it)) },
+            ::handleDivisions,
+            ports.divisionGauges,
+        ),
+    )
+    private val supplyManager = SupplyManager(
+        identity.name,
+        if (settings.supplyAddress == null) CapacityMode.OFF else ports.capacityMode,
+        SupplyPorts(
+            ports.backends,
+            ports.clock,
+            ports.log,
+            ::currentHold,
+            { offer(ControlSignal.Supply(it)) },
+            ports.divisionGauges.showCapacity,
+        ),
     )
     private var weightState = WeightState()
     private var pools = emptyList<ServingPool>()
     private var engines = emptyList<BackendServerEntry>()
     private var namedWeights = emptyList<NamedWeights>()
     private var evacuatedDomains = emptySet<String>()
+    private var statedDemands = emptyList<ModelDemand>()
     private var announcedCrashes = emptyList<CrashRecord>()
     private var models = setOf(NO_MODEL)
     private var isLikelyOwner = true
@@ -126,6 +164,9 @@
             is ControlSignal.InstancesRead -> instanceReader.handlePage(signal.callNumber, signal.outcome, readClock())
             is ControlSignal.InstancesChanged -> handleInstancesChanged(signal)
             is ControlSignal.ListsChanged -> handleListsChanged(signal)
+            is ControlSignal.DemandStated -> statedDemands = signal.demands
+            is ControlSignal.Supply -> supplyManager.handle(signal.event)
+            is ControlSignal.Division -> divisionManager.handle(signal.event)
             is ControlSignal.CrashesAnnounced -> announceCrashes(signal.records)
             ControlSignal.DrainStarted -> startDrain()
         }
@@ -133,6 +174,8 @@
 
     private fun tick() {
         leaseManager.handle(LeaseEvent.Tick)
+        divisionManager.tick(runsJobs = statedDemands.isNotEmpty())
+        supplyManager.tick(divisionManager.demand)
         handleWeightEvent(if (currentHold() == null) WeightEvent.LeaseLost else WeightEvent.Tick)
         val now = readClock()
         keepInTouch(now)
@@ -203,6 +246,7 @@
             capacity = identity.capacity,
             crashRecords = announcedCrashes,
             intervalMilliseconds = intervalMilliseconds,
+            demands = statedDemands,
         )
         val value = recordJson.encodeToString(InstanceHeartbeat.serializer(), heartbeat)
         val row = RowWrite(StoreTables.INSTANCES, "", identity.name, value)
@@ -218,12 +262,28 @@
         engines = signal.backends ?: engines
         namedWeights = signal.namedWeights ?: namedWeights
         evacuatedDomains = signal.evacuatedDomains ?: evacuatedDomains
-        val admitted = engines.filter { it.failureDomain !in evacuatedDomains }
         models = pools.flatMapTo(mutableSetOf(NO_MODEL)) { pool -> pool.models }
         updateOwnership()
+        divisionManager.updateLists(pools, admittedEngines())
+        supplyManager.updateLists(pools, engines)
+        updateWeights()
+    }
+
+    private fun admittedEngines() = engines.filter { it.failureDomain !in evacuatedDomains }
+
+    private fun handleDivisions(shares: Map<String, Map<String, Int>>) {
+        updateWeights()
+        ports.onDivisions(shares)
+    }
+
+    private fun updateWeights() {
+        val shares = divisionManager.shares
+        val admitted = admittedEngines()
         val enginePools = pools
             .filter { it.models.isNotEmpty() }
-            .map { pool -> EnginePool(pool.models, admitted.filter { it.pool == pool.name }) }
+            .map { pool ->
+                EnginePool(pool.models, admitted.filter { it.pool == pool.name }, shares[pool.name].orEmpty())
+            }
         handleWeightEvent(WeightEvent.ListsChanged(namedWeights.associate { it.model to it.version }, enginePools))
         if (currentHold() != null) handleWeightEvent(WeightEvent.Tick)
     }
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/ControlSignal.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/ControlSignal.kt
@@ -1,5 +1,7 @@
 package org.mulberrypin.service.deployment
 
+import org.mulberrypin.decisions.capacity.CapacityEvent
+import org.mulberrypin.decisions.division.DivisionEvent
 import org.mulberrypin.decisions.leases.LeaseEvent
 import org.mulberrypin.decisions.weights.WeightEvent
 import org.mulberrypin.decisions.windows.UsageEvent
@@ -8,6 +10,7 @@
 import org.mulberrypin.runtime.Outcome
 import org.mulberrypin.schema.generated.BackendServerEntry
 import org.mulberrypin.schema.generated.CrashRecord
+import org.mulberrypin.schema.generated.ModelDemand
 import org.mulberrypin.schema.generated.NamedWeights
 import org.mulberrypin.schema.generated.ServingPool
 
@@ -45,6 +48,21 @@
         val records: List<CrashRecord>,
     ) : ControlSignal
 
+    /** The work of this instance's batch jobs, by model, changed. */
+    data class DemandStated(
+        val demands: List<ModelDemand>,
+    ) : ControlSignal
+
+    /** An event for the division of engines among models. */
+    data class Division(
+        val event: DivisionEvent,
+    ) : ControlSignal
+
+    /** An event for the orders of engines. */
+    data class Supply(
+        val event: CapacityEvent,
+    ) : ControlSignal
+
     /** One of the platform's lists changed; a null list is unchanged. */
     data class ListsChanged(
         val pools: List<ServingPool>? = null,
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
@@ -2,8 +2,10 @@
 package org.mulberrypin.service.deployment
 
 import com.linecorp.armeria.server.Server
+import io.micrometer.core.instrument.MeterRegistry
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import org.mulberrypin.decisions.capacity.CapacityMode
 import org.mulberrypin.decisions.cold.ColdLimits
 import org.mulberrypin.decisions.traffic.InstanceIdentity
 import org.mulberrypin.decisions.traffic.TrafficEvent
@@ -41,11 +43,15 @@
     val drainAndStop: () -> Unit,
 )
 
-/** Starts an entry instance and serves metrics at [metricsPort]; 0 disables metrics. */
+/**
+ * Starts an entry instance and serves metrics at [metricsPort]; 0 disables metrics. [capacityMode] tells what is
+ * ordered from the platform where the settings list that duty.
+ */
 public fun startDeploymentInstance(
     settings: DeploymentSettings,
     metricsPort: Int,
     clock: ServiceClock,
+    capacityMode: CapacityMode = CapacityMode.OFF,
 ): DeploymentInstance {
     val identity = identityOf(settings, clock)
     val log = startDecisionLog(identity.name, clock)
@@ -58,8 +64,10 @@
     }
     val clients = httpClients(onLeaving, onCold)
     val store = httpRowStore(clients(settings.storeAddress), settings.storeAddress)
-    val backends = httpBackendCalls(clients, settings.usageAddress, httpClients(onLeaving, onCold))
-    control = ControlDuty(identity, settings, controlPorts(store, backends, clock, log) { traffic })
+    val separateClients = httpClients(onLeaving, onCold)
+    val backends = httpBackendCalls(clients, settings.usageAddress, separateClients, settings.supplyAddress)
+    control =
+        ControlDuty(identity, settings, controlPorts(store, backends, clock, log, registry, capacityMode) { traffic })
     val coldLimits = ColdLimits(settings.coldOverage, settings.coldSlackRequests)
     traffic = TrafficDuty(identity, trafficPorts(store, backends, control, clock, log, registry), coldLimits)
     lateinit var follow: FollowDuty
@@ -107,6 +115,8 @@
     backends: BackendCalls,
     clock: ServiceClock,
     log: DecisionLog,
+    registry: MeterRegistry,
+    capacityMode: CapacityMode,
     traffic: () -> TrafficDuty,
 ): ControlPorts =
     ControlPorts(
@@ -116,6 +126,9 @@
         log = log,
         runsJobs = { traffic().runsJobs },
         onInstances = { traffic().enqueue(TrafficEvent.LiveInstancesRead(it)) },
+        capacityMode = capacityMode,
+        divisionGauges = divisionGauges(registry),
+        onDivisions = { traffic().enqueue(TrafficEvent.DivisionsRead(it)) },
         onCrashRecords = { traffic().enqueue(TrafficEvent.CrashRecordsRead(it)) },
     )
 
@@ -127,9 +140,16 @@
     log: DecisionLog,
     registry: PrometheusMeterRegistry,
 ): TrafficPorts =
-    TrafficPorts(store, backends, control::countUsage, clock, log, trafficCounters(registry)) {
-        control.offer(ControlSignal.CrashesAnnounced(it))
-    }
+    TrafficPorts(
+        store = store,
+        backends = backends,
+        countUsage = control::countUsage,
+        clock = clock,
+        log = log,
+        counters = trafficCounters(registry),
+        announceCrashes = { control.offer(ControlSignal.CrashesAnnounced(it)) },
+        stateDemand = { control.offer(ControlSignal.DemandStated(it)) },
+    )
 
 private fun identityOf(
     settings: DeploymentSettings,
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/InstanceReader.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/InstanceReader.kt
@@ -17,12 +17,14 @@
  *
  * @property offer queues a signal for the control duty
  * @property onInstances receives the live instances whenever their list changes
+ * @property onHeartbeats receives the heartbeats of the live instances at each reading
  * @property onCrashRecords receives the crash records of the other instances whenever they change
  */
 internal data class InstanceReaderPorts(
     val store: RowStore,
     val log: DecisionLog,
     val offer: (ControlSignal) -> Unit,
+    val onHeartbeats: (List<InstanceHeartbeat>) -> Unit,
     val onInstances: (List<LiveInstance>) -> Unit,
     val onCrashRecords: (List<CrashRecord>) -> Unit,
 )
@@ -102,10 +104,12 @@
     ) {
         val changed = rows.filter { readVersions[it.key] != it.version }
         readVersions = rows.associate { it.key to it.version }
-        val heartbeats = changed.mapNotNull { ports.log.decodeRecord(it, InstanceHeartbeat.serializer()) }
-        tracker = tracker.withReading(heartbeats, readVersions.keys, nowMilliseconds)
+        val renewed = changed.mapNotNull { ports.log.decodeRecord(it, InstanceHeartbeat.serializer()) }
+        tracker = tracker.withReading(renewed, readVersions.keys, nowMilliseconds)
         forwardCrashRecords()
-        val current = tracker.liveInstances().map { LiveInstance(it.name, it.incarnation, it.capacity) }
+        val heartbeats = tracker.liveInstances()
+        ports.onHeartbeats(heartbeats)
+        val current = heartbeats.map { LiveInstance(it.name, it.incarnation, it.capacity) }
         if (current.toSet() == live.toSet()) return
         logChange("alive", current - live.toSet())
         logChange("gone", live - current.toSet())
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/StoreTables.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/StoreTables.kt
@@ -24,6 +24,9 @@
     /** Shares of cold backend servers, keyed by server and start of its lifetime. */
     const val COLD_SHARES = "cold-shares"
 
+    /** Divisions of engines among models, keyed by pool. */
+    const val DIVISION = "division"
+
     /** Request counts, one partition per usage window, keyed by instance and incarnation. */
     const val USAGE = "usage"
 
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
@@ -25,6 +25,7 @@
 import org.mulberrypin.runtime.startDuty
 import org.mulberrypin.schema.generated.CrashRecord
 import org.mulberrypin.schema.generated.JobRecord
+import org.mulberrypin.schema.generated.ModelDemand
 import java.time.Duration
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
@@ -33,6 +34,7 @@
  * Dependencies of the traffic duty.
  *
  * @property announceCrashes replaces the crash records that the other instances read
+ * @property stateDemand replaces the work of this instance's jobs that the other instances read
  */
 internal data class TrafficPorts(
     val store: RowStore,
@@ -42,6 +44,7 @@
     val log: DecisionLog,
     val counters: TrafficCounters,
     val announceCrashes: (List<CrashRecord>) -> Unit,
+    val stateDemand: (List<ModelDemand>) -> Unit,
 )
 
 /**
@@ -244,6 +247,10 @@
                 counter.increment()
             }
 
+            is TrafficEffect.StateDemand -> {
+                ports.stateDemand(effect.demands)
+            }
+
             is TrafficEffect.RecordDecision -> {
                 ports.log.write(SOURCE, effect.subject, effect.decision, effect.peer, effect.inputs)
             }
--- a/service/src/test/kotlin/org/mulberrypin/service/deployment/EvacuationRowsTest.kt
+++ b/service/src/test/kotlin/org/mulberrypin/service/deployment/EvacuationRowsTest.kt
@@ -73,7 +73,13 @@
             onJobs = { },
         )
         val clock = systemClock()
-        val follow = FollowDuty(store, outlets, FEED_WAIT_MILLISECONDS, clock, startDecisionLog("entry-1", clock)).start()
+        val follow = FollowDuty(
+            store,
+            outlets,
+            FEED_WAIT_MILLISECONDS,
+            clock,
+            startDecisionLog("entry-1", clock),
+        ).start()
         val seen = (1..4).map { published.poll(WAIT_SECONDS, TimeUnit.SECONDS) }
         follow.stop()
         val both = "evacuated [zone-b, zone-c]"
--- a/service/src/test/kotlin/org/mulberrypin/service/deployment/InstanceReaderTest.kt
+++ b/service/src/test/kotlin/org/mulberrypin/service/deployment/InstanceReaderTest.kt
@@ -40,8 +40,10 @@
         store,
         startDecisionLog("entry-1", systemClock()),
         signals::add,
-        lists::add,
-    ) {}
+        onHeartbeats = {},
+        onInstances = lists::add,
+        onCrashRecords = {},
+    )
     private val reader = InstanceReader("entry-1", ports)
     private var now = 0L
 
