--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ChooseBackend.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ChooseBackend.kt
@@ -31,7 +31,7 @@
         Choice(backend, expectedCompletion(candidate, run, queued, others, nowMilliseconds))
     }
     val seed = stableHash(request.request, request.id)
-    return chooseNearlyBest(choices) { stableHash(seed, it.entry.id) }
+    return chooseNearlyBest(choices, seed) { stableHash(seed, it.entry.id) }
 }
 
 /** The servers whose backoff ends first; one that has just failed is not tried before one that failed long ago. */
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ChooseEngine.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/ChooseEngine.kt
@@ -35,7 +35,7 @@
         Choice(engine, expectedText(engine, events, unread, pace, nowMilliseconds))
     }
     val seed = stableHash(0, task.task.group)
-    return chooseNearlyBest(choices) { stableHash(seed, it.entry.id) }
+    return chooseNearlyBest(choices, seed) { stableHash(seed, it.entry.id) }
 }
 
 /** Expected completion of a text with [events] further events at [engine], which has to read [unread] tokens first. */
@@ -47,7 +47,7 @@
     nowMilliseconds: Long,
 ): ExpectedCompletion {
     val candidate = candidateOf(engine)
-    val present = expectedPresent(candidate, poolOthers = 0.0, nowMilliseconds)
+    val present = expectedPresent(candidate, unseenOthers = 0.0, nowMilliseconds)
     val pace = engine.expectedPace(events, poolMilliseconds, nowMilliseconds)
     val running = events * pace * crowding(present, candidate.slots)
     return ExpectedCompletion(
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/work/ExpectRequest.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/work/ExpectRequest.kt
@@ -17,7 +17,9 @@
     poolOthers: Double,
     nowMilliseconds: Long,
 ): ExpectedCompletion {
-    val present = expectedPresent(candidate, poolOthers, nowMilliseconds)
+    // Other instances choose alike, so that own requests in flight at a server stand for theirs.
+    val unseenOthers = poolOthers + candidate.inFlight * OTHERS_PER_OWN
+    val present = expectedPresent(candidate, unseenOthers, nowMilliseconds)
     val pace = expectedPace(candidate.work, runMilliseconds, nowMilliseconds)
     return ExpectedCompletion(
         wait = expectedWait(present, candidate.slots, ownMilliseconds * pace),
@@ -26,12 +28,13 @@
     )
 }
 
-/** Expected number of requests at the server, those of this instance and of others. */
+/** Expected number of requests at the server; of others, [unseenOthers] as far as no report tells. */
 internal fun expectedPresent(
     candidate: ServerCandidate,
-    poolOthers: Double,
+    unseenOthers: Double,
     nowMilliseconds: Long,
-): Double = candidate.inFlight + (candidate.work.observed?.expectedOthers(poolOthers, nowMilliseconds) ?: poolOthers)
+): Double =
+    candidate.inFlight + (candidate.work.observed?.expectedOthers(unseenOthers, nowMilliseconds) ?: unseenOthers)
 
 /** Mean number of others' requests at the servers of a pool; a few reports say little of those without. */
 public fun poolOthers(candidates: List<ServerCandidate>): Double {
@@ -84,6 +87,9 @@
 /** Share by which a full server is expected to be slower than an idle one. */
 private const val FULL_SLOWDOWN = 0.3
 
+/** Requests of others for each own one at a server that reports nothing. */
+private const val OTHERS_PER_OWN = 5
+
 /** Number of idle servers that are averaged with those that report. */
 private const val UNSEEN_SERVERS = 2
 
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/work/ObservedLoad.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/work/ObservedLoad.kt
@@ -46,13 +46,13 @@
     )
 }
 
-/** Expected number of requests of others at the server; [poolOthers] is the mean of all servers. */
+/** Expected number of requests of others at the server; [unseenOthers] is what counts once reports are old. */
 internal fun ObservedLoad.expectedOthers(
-    poolOthers: Double,
+    unseenOthers: Double,
     nowMilliseconds: Long,
 ): Double {
     val age = nowMilliseconds - reportedMilliseconds
-    val usual = poolOthers + (usualOthers - poolOthers) * trust(age, USUAL_LIFETIME_MILLISECONDS)
+    val usual = unseenOthers + (usualOthers - unseenOthers) * trust(age, USUAL_LIFETIME_MILLISECONDS)
     return usual + (others - usual) * trust(age, LOAD_LIFETIME_MILLISECONDS)
 }
 
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/work/ServerWork.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/work/ServerWork.kt
@@ -86,7 +86,7 @@
 private const val LONG_AGO = Long.MIN_VALUE / 2
 
 /** Weight of the last run in the speed of a server. */
-private const val SPEED_SMOOTHING = 0.2
+private const val SPEED_SMOOTHING = 0.1
 
 /** Time after which a third of a learned speed still counts, in milliseconds. */
 private const val SPEED_LIFETIME_MILLISECONDS = 10_000.0
