--- a/decisions/src/test/kotlin/org/mulberrypin/decisions/capacity/DecideCapacityTest.kt
+++ b/decisions/src/test/kotlin/org/mulberrypin/decisions/capacity/DecideCapacityTest.kt
@@ -92,7 +92,8 @@
         reclaim()
         run(seconds = 1, answer = null)
         val placed = orders.toList()
-        state = CapacityState(CapacityMode.REPLACE)
+        // The next holder has followed the lists, and knows nothing of orders.
+        state = CapacityState(CapacityMode.REPLACE, pools = state.pools)
         orders.clear()
         run(seconds = 5, token = 2)
         expectThat(orders).isEmpty()
