Tick less often while there is no traffic

The traffic duty woke twenty times a second also without a request, a job or a task. The interval of a duty's ticks may now depend on its state; the traffic duty ticks four times a second until there is work, and each event still wakes it.

--- a/runtime/src/main/kotlin/org/mulberrypin/runtime/Duty.kt
+++ b/runtime/src/main/kotlin/org/mulberrypin/runtime/Duty.kt
@@ -73,15 +73,31 @@
     tickMilliseconds: Long,
     handleEvent: (Event) -> Unit,
     handleTick: () -> Unit,
+): Duty = startDuty(name, ring, clock, { tickMilliseconds }, handleEvent, handleTick)
+
+/**
+ * Starts a duty whose tick interval depends on its state.
+ *
+ * @param tickMilliseconds returns the minimum time between two calls of [handleTick]; called on the duty's thread
+ */
+public fun <Event : Any> startDuty(
+    name: String,
+    ring: BoundedRing<Event>,
+    clock: ServiceClock,
+    tickMilliseconds: () -> Long,
+    handleEvent: (Event) -> Unit,
+    handleTick: () -> Unit,
 ): Duty {
-    var nextTickMilliseconds = clock.readMilliseconds()
-    val lastTickMilliseconds = AtomicLong(nextTickMilliseconds)
+    val startMilliseconds = clock.readMilliseconds()
+    val lastTickMilliseconds = AtomicLong(startMilliseconds)
+    var hasTicked = false
+    val readNextTick = { if (hasTicked) lastTickMilliseconds.get() + tickMilliseconds() else startMilliseconds }
     val runIteration = {
-        val waitMilliseconds = (nextTickMilliseconds - clock.readMilliseconds()).coerceIn(0, MAX_PARK_MILLISECONDS)
+        val waitMilliseconds = (readNextTick() - clock.readMilliseconds()).coerceIn(0, MAX_PARK_MILLISECONDS)
         ring.take(waitMilliseconds)?.let(handleEvent)
-        if (clock.readMilliseconds() >= nextTickMilliseconds) {
+        if (clock.readMilliseconds() >= readNextTick()) {
             lastTickMilliseconds.set(clock.readMilliseconds())
-            nextTickMilliseconds = lastTickMilliseconds.get() + tickMilliseconds
+            hasTicked = true
             handleTick()
         }
     }
--- a/runtime/src/test/kotlin/org/mulberrypin/runtime/DutyTest.kt
+++ b/runtime/src/test/kotlin/org/mulberrypin/runtime/DutyTest.kt
@@ -55,6 +55,19 @@
         duty.stop(STOP_MILLISECONDS)
     }
 
+    @Test
+    fun `ticks sooner once an event shortens its interval`() {
+        val interval = AtomicLong(LONG_INTERVAL_MILLISECONDS)
+        val ticked = CountDownLatch(3)
+        val ring = boundedRing<Long>("test", 4)
+        val duty = startDuty("test", ring, systemClock(), interval::get, interval::set, ticked::countDown)
+        expectThat(ticked.await(2 * LONG_INTERVAL_MILLISECONDS / 3, TimeUnit.MILLISECONDS)).isEqualTo(false)
+        expectThat(ticked.count).isEqualTo(2)
+        ring.offer(1)
+        expectThat(ticked.await(LONG_INTERVAL_MILLISECONDS, TimeUnit.MILLISECONDS)).isEqualTo(true)
+        duty.stop(STOP_MILLISECONDS)
+    }
+
     private fun handledAfter(fail: () -> Unit): Boolean {
         val handled = CountDownLatch(1)
         val ring = boundedRing<Int>("test", 4)
@@ -65,6 +78,7 @@
     }
 
     private companion object {
+        private const val LONG_INTERVAL_MILLISECONDS = 3_000L
         private const val WAIT_SECONDS = 5L
         private const val STOP_MILLISECONDS = 500L
     }
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
@@ -75,7 +75,7 @@
         get() = ring.depth
 
     fun start(): TrafficDuty {
-        thread = startDuty("traffic", ring, ports.clock, TICK_INTERVAL_MILLISECONDS, ::handle, ::tick)
+        thread = startDuty("traffic", ring, ports.clock, ::tickMilliseconds, ::handle, ::tick)
         return this
     }
 
@@ -127,6 +127,11 @@
         ports.counters.tasks.set(taskCancellers.size)
     }
 
+    private fun tickMilliseconds(): Long {
+        val isIdle = calls.isEmpty() && state.requests.isEmpty() && state.jobs.isEmpty()
+        return if (isIdle) IDLE_TICK_INTERVAL_MILLISECONDS else TICK_INTERVAL_MILLISECONDS
+    }
+
     /** Removes the cancellation handles of finished requests and streams. */
     private fun removeFinished() {
         requestCancellers.keys.removeIf { state.requests[it]?.server == null }
@@ -350,6 +355,9 @@
 
         /** Interval between checks of deadlines and queued work, in milliseconds. */
         private const val TICK_INTERVAL_MILLISECONDS = 50L
+
+        /** Interval between these checks while there is no work, in milliseconds. */
+        private const val IDLE_TICK_INTERVAL_MILLISECONDS = 250L
         private const val STOP_TIMEOUT_MILLISECONDS = 500L
 
         /** Retry delay given to a rejected caller, in milliseconds. */
