--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/instances/HeartbeatCadence.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/instances/HeartbeatCadence.kt
@@ -65,5 +65,5 @@
 public const val MIN_HEARTBEAT_INTERVAL_MILLISECONDS: Long = 500
 
 /** Maximum heartbeat interval in milliseconds. */
-private const val MAX_HEARTBEAT_INTERVAL_MILLISECONDS = 4_000L
+private const val MAX_HEARTBEAT_INTERVAL_MILLISECONDS = 3_000L
 private const val MILLISECONDS_PER_SECOND = 1_000L
