Check a configuration before it is sent

Cause: an operator learned of a fault in a configuration from callers: the service skips what it can't read, a route behind one with the same host and prefix never matches, and limits that contradict each other were accepted without a word. Change: `configuration check` reports errors, entries that never match, contradictions and the differences from the version in force, for a deployment's document and for a patch. The errors of a patch come from applyPatch, which the service uses itself.

--- a/command/src/main/kotlin/org/mulberrypin/command/AllCommands.kt
+++ b/command/src/main/kotlin/org/mulberrypin/command/AllCommands.kt
@@ -10,6 +10,7 @@
         demoCommand,
         checkSettingsCommand,
         configurationShowCommand,
+        configurationCheckCommand,
         configurationPatchCommand,
         configurationHistoryCommand,
         keyGrantCommand,
