--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DecideTraffic.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DecideTraffic.kt
@@ -4,6 +4,9 @@
 import kotlinx.collections.immutable.PersistentMap
 import org.mulberrypin.decisions.Transition
 import org.mulberrypin.decisions.andThen
+import org.mulberrypin.decisions.cold.withEntries
+import org.mulberrypin.decisions.requests.retainingTeams
+import org.mulberrypin.schema.generated.ServingConfiguration
 
 /**
  * Applies an event and returns the next state and the effects to perform.
@@ -18,21 +21,75 @@
     wallMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> =
     when (event) {
-        is TrafficEvent.ConfigurationChanged -> Transition(state.copy(routing = routingTableOf(event.configuration)))
-        is TrafficEvent.VersionsNamed -> Transition(state.copy(namedVersions = event.versions).withExpectedLoads())
-        is TrafficEvent.BackendsChanged -> state.updateBackends(event, nowMilliseconds)
-        is TrafficEvent.ServerLeaving -> state.handleServerLeaving(event)
-        is TrafficEvent.CrashRecordsRead -> state.mergeCrashRecords(event.records, nowMilliseconds, wallMilliseconds)
-        is TrafficEvent.LiveInstancesRead -> Transition(state.copy(liveInstances = event.live))
-        is TrafficEvent.RequestEvent -> state.decideRequest(event, nowMilliseconds)
-        is TrafficEvent.JobEvent -> state.decideJob(event, nowMilliseconds)
-        is TrafficEvent.TaskStreamEvent -> state.decideTask(event, nowMilliseconds)
-        TrafficEvent.DrainStarted -> Transition(state.copy(draining = true))
-        TrafficEvent.ReleaseJobs -> state.releaseJobs()
-        TrafficEvent.GraceEnding -> state.failOpenRequests(nowMilliseconds)
-        TrafficEvent.Tick -> state.tick(nowMilliseconds, wallMilliseconds)
+        is TrafficEvent.ConfigurationChanged -> {
+            val configured = state.handleConfiguration(event.configuration, nowMilliseconds, wallMilliseconds)
+            Transition(configured.withRequestSharesOf(event.configuration))
+        }
+
+        is TrafficEvent.VersionsNamed -> {
+            Transition(state.copy(namedVersions = event.versions).withExpectedLoads())
+        }
+
+        is TrafficEvent.BackendEvent -> {
+            state.decideBackends(event, nowMilliseconds, wallMilliseconds)
+        }
+
+        is TrafficEvent.CrashRecordsRead -> {
+            state.mergeCrashRecords(event.records, nowMilliseconds, wallMilliseconds)
+        }
+
+        is TrafficEvent.LiveInstancesRead -> {
+            Transition(state.copy(liveInstances = event.live))
+        }
+
+        is TrafficEvent.RequestEvent -> {
+            state.decideRequest(event, nowMilliseconds)
+        }
+
+        is TrafficEvent.JobEvent -> {
+            state.decideJob(event, nowMilliseconds)
+        }
+
+        is TrafficEvent.TaskStreamEvent -> {
+            state.decideTask(event, nowMilliseconds)
+        }
+
+        TrafficEvent.DrainStarted -> {
+            Transition(state.copy(draining = true))
+        }
+
+        TrafficEvent.ReleaseJobs -> {
+            state.releaseJobs()
+        }
+
+        TrafficEvent.GraceEnding -> {
+            state.failOpenRequests(nowMilliseconds)
+        }
+
+        TrafficEvent.Tick -> {
+            state.tick(nowMilliseconds, wallMilliseconds)
+        }
     }
 
+private fun TrafficState.decideBackends(
+    event: TrafficEvent.BackendEvent,
+    nowMilliseconds: Long,
+    wallMilliseconds: Long,
+): Transition<TrafficState, TrafficEffect> =
+    when (event) {
+        is TrafficEvent.BackendsChanged -> updateBackends(event, nowMilliseconds, wallMilliseconds)
+        is TrafficEvent.ServerLeaving -> handleServerLeaving(event)
+        is TrafficEvent.ServerCold -> Transition(handleServerCold(event, nowMilliseconds))
+        is TrafficEvent.ColdShareAnswered -> handleColdShare(event, nowMilliseconds)
+        is TrafficEvent.DomainsEvacuated -> handleDomainsEvacuated(event.domains, nowMilliseconds)
+    }
+
+/** Forgets the shares of teams that are gone. */
+private fun TrafficState.withRequestSharesOf(configuration: ServingConfiguration): TrafficState {
+    val teams = configuration.teams.mapTo(HashSet()) { it.name }
+    return withQueues { it.copy(requestShares = it.requestShares.retainingTeams(teams)) }
+}
+
 private fun TrafficState.decideRequest(
     event: TrafficEvent.RequestEvent,
     nowMilliseconds: Long,
@@ -40,10 +97,16 @@
     when (event) {
         is TrafficEvent.RequestArrived -> handleRequestArrived(event, nowMilliseconds)
         is TrafficEvent.CallerDisconnected -> requests[event.request]?.let(::handleCallerDisconnect) ?: Transition(this)
-        is TrafficEvent.ResponseReceived -> handleResponse(event, nowMilliseconds)
+        is TrafficEvent.ResponseReceived -> observeAndHandle(event, nowMilliseconds)
         is TrafficEvent.AttemptFailed -> handleFailedAttempt(event, nowMilliseconds)
     }
 
+private fun TrafficState.observeAndHandle(
+    event: TrafficEvent.ResponseReceived,
+    nowMilliseconds: Long,
+): Transition<TrafficState, TrafficEffect> =
+    observeResponse(event, nowMilliseconds).handleResponse(event, nowMilliseconds)
+
 private fun TrafficState.decideJob(
     event: TrafficEvent.JobEvent,
     nowMilliseconds: Long,
@@ -53,6 +116,7 @@
         is TrafficEvent.JobStored -> handleJobStored(event, nowMilliseconds)
         is TrafficEvent.JobRowsRead -> handleJobRows(event.rows, nowMilliseconds)
         is TrafficEvent.JobLoaded -> loadJob(event, nowMilliseconds)
+        is TrafficEvent.DivisionsRead -> Transition(copy(divisions = event.shares).withExpectedLoads())
         is TrafficEvent.JobLoadFailed -> handleJobLoadFailure(event)
         is TrafficEvent.ResultsWritten -> handleResultsWritten(event, nowMilliseconds)
         is TrafficEvent.ResultsWriteFailed -> handleResultsWriteFailure(event, nowMilliseconds)
@@ -78,9 +142,11 @@
 private fun TrafficState.updateBackends(
     event: TrafficEvent.BackendsChanged,
     nowMilliseconds: Long,
+    wallMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> {
     val listed = backends.reconciledWith(event.entries.map(leavingServers::mark))
-    val updated = copy(backends = listed.withInFlightCounts(this)).withExpectedLoads()
+    val cold = coldServers.withEntries(event.entries, backends.isEmpty(), nowMilliseconds, wallMilliseconds)
+    val updated = copy(backends = listed.withInFlightCounts(this), coldServers = cold).withExpectedLoads()
     return Transition<TrafficState, TrafficEffect>(updated).andDispatchTasks(nowMilliseconds)
 }
 
@@ -109,8 +175,11 @@
     nowMilliseconds: Long,
     wallMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> =
-    expireCarriedTasks(nowMilliseconds)
+    withQueues { it.copy(wallOffsetMilliseconds = wallMilliseconds - nowMilliseconds) }
+        .expireCarriedTasks(nowMilliseconds)
+        .expireObservations(nowMilliseconds)
         .expireSuspects(nowMilliseconds)
+        .andThen { it.tickColdServers(nowMilliseconds) }
         .andThen { it.continueRequests(nowMilliseconds) }
         .andThen { it.timeOutIdleTasks(nowMilliseconds) }
         .andThen { it.continueJobs(nowMilliseconds, wallMilliseconds) }
@@ -119,3 +188,4 @@
         .andThen { it.dispatchTasks(nowMilliseconds) }
         .andThen { it.moveTasks(nowMilliseconds) }
         .andThen { it.saveProgress(nowMilliseconds) }
+        .andThen { it.stateDemand(nowMilliseconds, wallMilliseconds) }
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEffect.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEffect.kt
@@ -3,6 +3,7 @@
 import org.mulberrypin.schema.generated.JobRecord
 import org.mulberrypin.schema.generated.JobSubmission
 import org.mulberrypin.schema.generated.JobTask
+import org.mulberrypin.schema.generated.ModelDemand
 import org.mulberrypin.schema.generated.ScoringCall
 import org.mulberrypin.schema.generated.TaskPart
 
@@ -16,6 +17,7 @@
      *
      * @property remainingMilliseconds time until the deadline of the request
      * @property scoring the scoring call to send; null for a client request
+     * @property priority priority to state to the server, from 0 (first) to 9; null for the server's default
      */
     public data class Send(
         val request: Long,
@@ -26,6 +28,7 @@
         val remainingMilliseconds: Long,
         val scoring: ScoringCall?,
         val serverStartedWallMilliseconds: Long,
+        val priority: Int? = null,
     ) : TrafficEffect
 
     /** Cancel the current attempt of a request by closing its connection. */
@@ -51,11 +54,27 @@
         val retryMilliseconds: Long? = null,
     ) : TrafficEffect
 
+    /**
+     * Claim a share of a cold backend server in the store.
+     *
+     * @property budget requests that the server may get from all instances in any second
+     */
+    public data class ClaimColdShare(
+        val server: String,
+        val startedWallMilliseconds: Long,
+        val budget: Int,
+    ) : TrafficEffect
+
     /** Announce these suspects to the other instances in place of those announced before. */
     public data class AnnounceSuspects(
         val suspects: Map<String, CrashSuspect>,
     ) : TrafficEffect
 
+    /** State the work of this instance's jobs in place of what was stated before. */
+    public data class StateDemand(
+        val demands: List<ModelDemand>,
+    ) : TrafficEffect
+
     /** Read the body of a job submission whose route and key were accepted. */
     public data class ReadSubmission(
         val request: Long,
@@ -106,7 +125,7 @@
 
     /**
      * Run a task on an engine, starting with the event after [lastEvent]. [needsNewConnection] is true if the answer
-     * to an earlier attempt was lost, so that the answer to this one has to be received.
+     * to an earlier attempt was lost, so that the answer to this one has to be received. [priority] is as for [Send].
      */
     public data class RunTask(
         val job: String,
@@ -119,6 +138,7 @@
         val lastEvent: Long,
         val needsNewConnection: Boolean = false,
         val serverStartedWallMilliseconds: Long,
+        val priority: Int? = null,
     ) : JobEffect
 
     /** Cancel the current attempt of a task by closing its connection. */
@@ -132,6 +152,18 @@
         val team: String,
     ) : TrafficEffect
 
+    /** Count a decision that was made under load. */
+    public data class CountLoadDecision(
+        val decision: LoadDecision,
+    ) : TrafficEffect
+
+    /** Count how a time that a choice of a server was based on came out, for the metrics. */
+    public data class MeasureForecast(
+        val kind: ForecastKind,
+        val expectedMilliseconds: Double,
+        val actualMilliseconds: Double,
+    ) : TrafficEffect
+
     /**
      * Record the reasons for a decision.
      *
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEvent.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/TrafficEvent.kt
@@ -1,5 +1,7 @@
 package org.mulberrypin.decisions.traffic
 
+import org.mulberrypin.decisions.cold.ColdClaimOutcome
+import org.mulberrypin.decisions.work.LoadReport
 import org.mulberrypin.schema.generated.BackendServerEntry
 import org.mulberrypin.schema.generated.CrashRecord
 import org.mulberrypin.schema.generated.JobRecord
@@ -13,6 +15,9 @@
     /** Events of client requests and scoring calls. */
     public sealed interface RequestEvent : TrafficEvent
 
+    /** Events that change which backend servers are used. */
+    public sealed interface BackendEvent : TrafficEvent
+
     /** Events of batch jobs. */
     public sealed interface JobEvent : TrafficEvent
 
@@ -31,7 +36,7 @@
     /** The list of backend servers changed; [entries] is the complete list. */
     public data class BackendsChanged(
         val entries: List<BackendServerEntry>,
-    ) : TrafficEvent
+    ) : BackendEvent
 
     /**
      * A backend server said in a response that it is leaving.
@@ -41,7 +46,30 @@
     public data class ServerLeaving(
         val server: String,
         val startedWallMilliseconds: Long?,
-    ) : TrafficEvent
+    ) : BackendEvent
+
+    /**
+     * A backend server said in a response for how long it stays cold.
+     *
+     * @property startedWallMilliseconds start time of the server that the call was meant for; null for the listed one
+     */
+    public data class ServerCold(
+        val server: String,
+        val startedWallMilliseconds: Long?,
+        val coldMilliseconds: Long,
+    ) : BackendEvent
+
+    /** The store answered a claim to a share of a cold backend server. */
+    public data class ColdShareAnswered(
+        val server: String,
+        val startedWallMilliseconds: Long,
+        val outcome: ColdClaimOutcome,
+    ) : BackendEvent
+
+    /** The operator's evacuations changed; [domains] are all evacuated failure domains. */
+    public data class DomainsEvacuated(
+        val domains: Set<String>,
+    ) : BackendEvent
 
     /** Weight versions were named; [versions] has the newest version of each model. */
     public data class VersionsNamed(
@@ -75,7 +103,7 @@
      *
      * @property notRun true if the backend server states that it did not run the request
      * @property signed true if the response carries the signature of the backend server
-     * @property load running and queued requests reported by the backend server; null if not reported
+     * @property load load reported by the backend server; null if not reported
      * @property connection the connection that the response came over, for the log
      */
     public data class ResponseReceived(
@@ -85,7 +113,7 @@
         val notRun: Boolean,
         val signed: Boolean,
         val signature: String,
-        val load: Int?,
+        val load: LoadReport?,
         val connection: String = "",
     ) : RequestEvent
 
@@ -177,6 +205,7 @@
         val status: Int,
         val notRun: Boolean,
         val version: Long?,
+        val load: LoadReport? = null,
     ) : TaskStreamEvent
 
     /** Events of a task were received. */
@@ -204,6 +233,11 @@
         val connectionLost: Boolean = false,
     ) : TaskStreamEvent
 
+    /** Divisions of engines among models were read; [shares] has the thousandths of each model, by pool. */
+    public data class DivisionsRead(
+        val shares: Map<String, Map<String, Int>>,
+    ) : JobEvent
+
     /** The crash records that other instances announce were read. */
     public data class CrashRecordsRead(
         val records: List<CrashRecord>,
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
@@ -2,8 +2,11 @@
 package org.mulberrypin.service.deployment
 
 import com.linecorp.armeria.server.Server
+import io.micrometer.core.instrument.MeterRegistry
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import org.mulberrypin.decisions.capacity.CapacityMode
+import org.mulberrypin.decisions.cold.ColdLimits
 import org.mulberrypin.decisions.traffic.InstanceIdentity
 import org.mulberrypin.decisions.traffic.TrafficEvent
 import org.mulberrypin.decisions.weights.WeightEvent
@@ -40,11 +43,15 @@
     val drainAndStop: () -> Unit,
 )
 
-/** Starts an entry instance and serves metrics at [metricsPort]; 0 disables metrics. */
+/**
+ * Starts an entry instance and serves metrics at [metricsPort]; 0 disables metrics. [capacityMode] tells what is
+ * ordered from the platform where the settings list that duty.
+ */
 public fun startDeploymentInstance(
     settings: DeploymentSettings,
     metricsPort: Int,
     clock: ServiceClock,
+    capacityMode: CapacityMode = CapacityMode.OFF,
 ): DeploymentInstance {
     val identity = identityOf(settings, clock)
     val log = startDecisionLog(identity.name, clock)
@@ -52,14 +59,21 @@
     lateinit var traffic: TrafficDuty
     lateinit var control: ControlDuty
     val onLeaving = leavingListener({ traffic }, { control })
-    val clients = httpClients(onLeaving)
+    val onCold = { server: String, started: Long?, milliseconds: Long ->
+        traffic.enqueue(TrafficEvent.ServerCold(server, started, milliseconds))
+    }
+    val clients = httpClients(onLeaving, onCold)
     val store = httpRowStore(clients(settings.storeAddress), settings.storeAddress)
-    val backends = httpBackendCalls(clients, settings.usageAddress, httpClients(onLeaving))
-    control = ControlDuty(identity, settings, controlPorts(store, backends, clock, log) { traffic })
-    traffic = TrafficDuty(identity, trafficPorts(store, backends, control, clock, log, registry))
+    val separateClients = httpClients(onLeaving, onCold)
+    val backends = httpBackendCalls(clients, settings.usageAddress, separateClients, settings.supplyAddress)
+    control =
+        ControlDuty(identity, settings, controlPorts(store, backends, clock, log, registry, capacityMode) { traffic })
+    val coldLimits = ColdLimits(settings.coldOverage, settings.coldSlackRequests)
+    traffic = TrafficDuty(identity, trafficPorts(store, backends, control, clock, log, registry), coldLimits)
     lateinit var follow: FollowDuty
     val readiness = InstanceReadiness { maxOf(traffic.millisecondsSinceTick(), follow.millisecondsSinceTick()) }
-    follow = FollowDuty(store, followOutlets(traffic, control, readiness), clock, log)
+    val feedWaitMilliseconds = feedWaitMilliseconds(settings.contactMilliseconds)
+    follow = FollowDuty(store, followOutlets(traffic, control, readiness), feedWaitMilliseconds, clock, log)
     registry.gauge("duty.tick.age.milliseconds", readiness) { it.millisecondsSinceTick().toDouble() }
     val server = frontServer(addresses(settings, metricsPort), frontPorts(traffic, readiness, registry))
     server.start().join()
@@ -101,11 +115,22 @@
     backends: BackendCalls,
     clock: ServiceClock,
     log: DecisionLog,
+    registry: MeterRegistry,
+    capacityMode: CapacityMode,
     traffic: () -> TrafficDuty,
 ): ControlPorts =
-    ControlPorts(store, backends, clock, log, { traffic().enqueue(TrafficEvent.LiveInstancesRead(it)) }) {
-        traffic().enqueue(TrafficEvent.CrashRecordsRead(it))
-    }
+    ControlPorts(
+        store = store,
+        backends = backends,
+        clock = clock,
+        log = log,
+        runsJobs = { traffic().runsJobs },
+        onInstances = { traffic().enqueue(TrafficEvent.LiveInstancesRead(it)) },
+        capacityMode = capacityMode,
+        divisionGauges = divisionGauges(registry),
+        onDivisions = { traffic().enqueue(TrafficEvent.DivisionsRead(it)) },
+        onCrashRecords = { traffic().enqueue(TrafficEvent.CrashRecordsRead(it)) },
+    )
 
 private fun trafficPorts(
     store: RowStore,
@@ -115,9 +140,16 @@
     log: DecisionLog,
     registry: PrometheusMeterRegistry,
 ): TrafficPorts =
-    TrafficPorts(store, backends, control::countUsage, clock, log, trafficCounters(registry)) {
-        control.offer(ControlSignal.CrashesAnnounced(it))
-    }
+    TrafficPorts(
+        store = store,
+        backends = backends,
+        countUsage = control::countUsage,
+        clock = clock,
+        log = log,
+        counters = trafficCounters(registry),
+        announceCrashes = { control.offer(ControlSignal.CrashesAnnounced(it)) },
+        stateDemand = { control.offer(ControlSignal.DemandStated(it)) },
+    )
 
 private fun identityOf(
     settings: DeploymentSettings,
@@ -181,6 +213,10 @@
     readiness: InstanceReadiness,
 ): FollowOutlets =
     FollowOutlets(
+        onEvacuations = {
+            traffic.enqueue(TrafficEvent.DomainsEvacuated(it))
+            control.offer(ControlSignal.ListsChanged(evacuatedDomains = it))
+        },
         onConfiguration = {
             traffic.enqueue(TrafficEvent.ConfigurationChanged(it))
             control.offer(ControlSignal.ListsChanged(pools = it.pools))
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/FollowDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/FollowDuty.kt
@@ -18,8 +18,14 @@
 import org.mulberrypin.schema.generated.NamedWeights
 import org.mulberrypin.schema.generated.ServingConfiguration
 
-/** Callbacks for the tables that the follow duty watches; called on its thread. */
+/**
+ * Callbacks for the tables that the follow duty watches; called on its thread.
+ *
+ * @property onEvacuations receives all evacuated failure domains, the first time before the first configuration, and
+ *   again from time to time, since a full ring may drop one of the calls
+ */
 internal data class FollowOutlets(
+    val onEvacuations: (Set<String>) -> Unit,
     val onConfiguration: (ServingConfiguration) -> Unit,
     val onWeights: (List<NamedWeights>) -> Unit,
     val onBackends: (List<BackendServerEntry>) -> Unit,
@@ -48,16 +54,19 @@
 internal class FollowDuty(
     private val store: RowStore,
     private val outlets: FollowOutlets,
+    feedWaitMilliseconds: Long,
     private val clock: ServiceClock,
     private val log: DecisionLog,
 ) {
     private val ring: BoundedRing<FollowSignal> = boundedRing("follow", RING_CAPACITY)
     private var tables = listOf(
-        FollowedTable(PlatformTables.OPERATOR, listOf("")),
-        FollowedTable(PlatformTables.BACKEND_SERVERS, listOf("")),
-        FollowedTable(StoreTables.JOBS, jobPartitions),
+        FollowedTable(PlatformTables.OPERATOR, listOf(""), feedWaitMilliseconds),
+        FollowedTable(PlatformTables.BACKEND_SERVERS, listOf(""), feedWaitMilliseconds),
+        FollowedTable(StoreTables.JOBS, jobPartitions, feedWaitMilliseconds),
     ).associateBy { it.table }
     private var backendEntries = LapsedEntries()
+    private var evacuationRows = EvacuationRows()
+    private var nextEvacuationsMilliseconds = Long.MAX_VALUE
     private var configurationVersion = 0L
     private var listedServers = ListedServers()
     private var publishedBackends: List<BackendServerEntry>? = null
@@ -137,6 +146,7 @@
 
     private fun publishOperator(table: FollowedTable) {
         val rows = table.rows.values
+        publishEvacuations(rows)
         val row = rows.firstOrNull { it.key == PlatformTables.CONFIGURATION_KEY }
         if (row != null && row.version > configurationVersion) {
             val configuration = decodeConfiguration(row.value)
@@ -158,6 +168,20 @@
         outlets.onWeights(named.mapNotNull(::decodeWeights))
     }
 
+    private fun publishEvacuations(rows: Collection<StoredRow>) {
+        val before = evacuationRows.domains
+        evacuationRows = evacuationRows.read(rows)
+        evacuationRows.newlyUnreadable.forEach { row ->
+            log.write(SOURCE, row.key, "evacuation names no failure domain", "store", "rowVersion=${row.version}")
+        }
+        if (evacuationRows.domains != before) announceEvacuations()
+    }
+
+    private fun announceEvacuations() {
+        nextEvacuationsMilliseconds = clock.readMilliseconds() + EVACUATIONS_INTERVAL_MILLISECONDS
+        outlets.onEvacuations(evacuationRows.domains)
+    }
+
     private fun decodeWeights(row: StoredRow): NamedWeights? {
         val pair = decodeNamedWeights(row.value)
         if (pair == null) log.write(SOURCE, row.key, "named version not readable", "store", "rowVersion=${row.version}")
@@ -186,14 +210,28 @@
     ) {
         val previous = before.associateBy { it.id }
         val current = after.associateBy { it.id }
-        previous.keys.filter { it !in current }.forEach { log.write(SOURCE, it, "backend server gone", "store") }
-        after.filter { previous[it.id] != it }.forEach { entry ->
+        val gone = previous.keys.filter { it !in current }
+        val listed = after.filter { previous[it.id] != it }
+        if (gone.size + listed.size > MAX_SINGLE_LINES) return logManyChanges(gone, listed)
+        gone.forEach { log.write(SOURCE, it, "backend server gone", "store") }
+        listed.forEach { entry ->
             val weights = entry.models.joinToString(",") { "${it.name}:${it.version}" }
             val inputs = "pool=${entry.pool} address=${entry.address} leaving=${entry.leaving} weights=$weights"
             log.write(SOURCE, entry.id, "backend server listed", "store", inputs)
         }
     }
 
+    private fun logManyChanges(
+        gone: List<String>,
+        listed: List<BackendServerEntry>,
+    ) {
+        val goneInputs = boundedList(gone)
+        if (gone.isNotEmpty()) log.write(SOURCE, "${gone.size} servers", "backend server gone", "store", goneInputs)
+        if (listed.isEmpty()) return
+        val inputs = boundedList(listed.map { "${it.id}/${it.pool}/${it.address}/leaving=${it.leaving}" })
+        log.write(SOURCE, "${listed.size} servers", "backend server listed", "store", inputs)
+    }
+
     private fun publishJobs(
         before: FollowedTable,
         after: FollowedTable,
@@ -210,6 +248,7 @@
     private fun tick() {
         val now = clock.readMilliseconds()
         tables.values.forEach { sendNextCall(it, now) }
+        if (now >= nextEvacuationsMilliseconds) announceEvacuations()
         val backendTable = tables.getValue(PlatformTables.BACKEND_SERVERS)
         if (backendTable.version != null && backendEntries.hasExpired(now)) publishBackends(backendTable, now)
     }
@@ -240,6 +279,12 @@
         private const val SOURCE = "follow"
         private const val RING_CAPACITY = 64
         private const val TICK_INTERVAL_MILLISECONDS = 100L
+
+        /** Interval between repeated announcements of the evacuations, in milliseconds, once there has been one. */
+        private const val EVACUATIONS_INTERVAL_MILLISECONDS = 1_000L
+
+        /** Number of changed backend servers up to which each has a log line of its own. */
+        private const val MAX_SINGLE_LINES = 2
         private const val STOP_TIMEOUT_MILLISECONDS = 300L
     }
 }
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficCounters.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficCounters.kt
@@ -3,6 +3,8 @@
 import io.micrometer.core.instrument.Counter
 import io.micrometer.core.instrument.MeterRegistry
 import io.micrometer.core.instrument.Timer
+import org.mulberrypin.decisions.traffic.ForecastKind
+import org.mulberrypin.decisions.traffic.LoadDecision
 import java.time.Duration
 import java.util.concurrent.atomic.AtomicInteger
 
@@ -13,8 +15,13 @@
     val attempts: Counter,
     val jobs: AtomicInteger,
     val tasks: AtomicInteger,
+    val evacuatedDomains: AtomicInteger,
+    val coldServers: AtomicInteger,
+    val coldClaims: Counter,
     val requestLatency: Timer,
     val jobCallLatency: Timer,
+    val loadDecisions: Map<LoadDecision, Counter>,
+    val forecasts: Map<ForecastKind, ForecastCounters>,
 )
 
 /** Registers the metrics of the traffic duty. */
@@ -25,8 +32,17 @@
         attempts = registry.counter("mulberrypin_attempts"),
         jobs = registry.gauge("mulberrypin_jobs_running", AtomicInteger()),
         tasks = registry.gauge("mulberrypin_tasks_running", AtomicInteger()),
+        evacuatedDomains = registry.gauge("mulberrypin_failure_domains_evacuated", AtomicInteger()),
+        coldServers = registry.gauge("mulberrypin_backend_servers_cold", AtomicInteger()),
+        coldClaims = registry.counter("mulberrypin_cold_share_claims"),
         requestLatency = latencyHistogram(registry, "mulberrypin_request_latency"),
         jobCallLatency = latencyHistogram(registry, "mulberrypin_job_call_latency"),
+        loadDecisions = mapOf(
+            LoadDecision.YIELDED to registry.counter("mulberrypin_tasks_yielded"),
+            LoadDecision.REFUSED_AT_ONCE to registry.counter("mulberrypin_requests_refused_at_once"),
+            LoadDecision.RETRY_WITHHELD to registry.counter("mulberrypin_retries_withheld"),
+        ),
+        forecasts = forecastCounters(registry),
     )
 
 /** Registers a latency histogram with buckets from the shortest to the longest expected latency. */
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
@@ -1,5 +1,7 @@
 package org.mulberrypin.service.deployment
 
+import org.mulberrypin.decisions.cold.ColdLimits
+import org.mulberrypin.decisions.cold.ColdServers
 import org.mulberrypin.decisions.traffic.HttpStatusCode
 import org.mulberrypin.decisions.traffic.InstanceIdentity
 import org.mulberrypin.decisions.traffic.TaskPhase
@@ -23,6 +25,7 @@
 import org.mulberrypin.runtime.startDuty
 import org.mulberrypin.schema.generated.CrashRecord
 import org.mulberrypin.schema.generated.JobRecord
+import org.mulberrypin.schema.generated.ModelDemand
 import java.time.Duration
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
@@ -31,6 +34,7 @@
  * Dependencies of the traffic duty.
  *
  * @property announceCrashes replaces the crash records that the other instances read
+ * @property stateDemand replaces the work of this instance's jobs that the other instances read
  */
 internal data class TrafficPorts(
     val store: RowStore,
@@ -40,18 +44,24 @@
     val log: DecisionLog,
     val counters: TrafficCounters,
     val announceCrashes: (List<CrashRecord>) -> Unit,
+    val stateDemand: (List<ModelDemand>) -> Unit,
 )
 
-/** Forwards callers' requests and runs batch jobs. Only [submit] and [enqueue] may be called from other threads. */
+/**
+ * Forwards callers' requests and runs batch jobs. Only [submit] and [enqueue] may be called from other threads.
+ *
+ * @param coldLimits how far the requests to a cold backend server may exceed what its pool states
+ */
 internal class TrafficDuty(
     private val identity: InstanceIdentity,
     private val ports: TrafficPorts,
+    coldLimits: ColdLimits = ColdLimits(),
 ) {
     private val ring: BoundedRing<TrafficSignal> = boundedRing("traffic", RING_CAPACITY)
     private val callCounter = AtomicLong()
     private val openCalls = AtomicInteger()
     private val runningTasks = AtomicInteger()
-    private var state = TrafficState(identity)
+    private var state = TrafficState(identity, coldServers = ColdServers(coldLimits))
     private val calls = HashMap<Long, IncomingCall>()
     private val arrivalMilliseconds = HashMap<Long, Long>()
     private val responses = HashMap<Long, BackendResponse>()
@@ -60,12 +70,19 @@
     private val jobStore = JobStore(ports.store, ports.log)
     private val jobEffects = JobEffectHandler(jobStore, ports.store, identity, ports.log, ::enqueue)
     private val jobCalls = JobCalls(jobStore, ports, { state }, ::offer, ::reply)
+    private val coldShares = ColdShareClaims(identity.name, ports.store, ports.log) { claim, outcome ->
+        enqueue(TrafficEvent.ColdShareAnswered(claim.server, claim.startedWallMilliseconds, outcome))
+    }
     private var thread: Duty? = null
 
     /** Number of calls and tasks in flight, as of the last tick. */
     val inFlightCount: Int
         get() = openCalls.get() + runningTasks.get()
 
+    /** Whether this instance runs batch jobs, as of the last tick. */
+    val runsJobs: Boolean
+        get() = ports.counters.jobs.get() > 0
+
     /** Number of signals queued for the duty. */
     val depth: Int
         get() = ring.depth
@@ -121,6 +138,11 @@
         runningTasks.set(taskCancellers.size)
         ports.counters.jobs.set(state.jobs.size)
         ports.counters.tasks.set(taskCancellers.size)
+        ports.counters.evacuatedDomains.set(state.evacuatedDomains.size)
+        ports.counters.coldServers.set(
+            state.coldServers.servers.values
+                .count { it.isReportedCold },
+        )
     }
 
     /** Removes the cancellation handles of finished requests and streams. */
@@ -166,7 +188,7 @@
                 notRun = response.notRun,
                 signed = !response.signature.isNullOrBlank(),
                 signature = response.signature.orEmpty(),
-                load = response.load?.let { it.running + it.waiting },
+                load = response.load?.let(::loadReport),
                 connection = response.connection,
             ),
         )
@@ -211,14 +233,34 @@
                 ports.countUsage(effect.team)
             }
 
+            is TrafficEffect.ClaimColdShare -> {
+                ports.counters.coldClaims.increment()
+                coldShares.claim(effect)
+            }
+
             is TrafficEffect.AnnounceSuspects -> {
                 ports.announceCrashes(crashRecords(effect, ports.clock))
             }
 
+            is TrafficEffect.CountLoadDecision -> {
+                val counter = ports.counters.loadDecisions.getValue(effect.decision)
+                counter.increment()
+            }
+
+            is TrafficEffect.StateDemand -> {
+                ports.stateDemand(effect.demands)
+            }
+
             is TrafficEffect.RecordDecision -> {
                 ports.log.write(SOURCE, effect.subject, effect.decision, effect.peer, effect.inputs)
             }
 
+            is TrafficEffect.MeasureForecast -> {
+                ports.counters.forecasts
+                    .getValue(effect.kind)
+                    .count(effect)
+            }
+
             is TrafficEffect.JobEffect -> {
                 performJob(effect)
             }
