--- a/command/src/main/kotlin/org/mulberrypin/command/AllCommands.kt
+++ b/command/src/main/kotlin/org/mulberrypin/command/AllCommands.kt
@@ -11,6 +11,7 @@
         demoCommand,
         checkSettingsCommand,
         configurationShowCommand,
+        configurationCheckCommand,
         configurationPatchCommand,
         configurationHistoryCommand,
         keyGrantCommand,
