--- a/command/src/main/kotlin/org/mulberrypin/command/CheckDocuments.kt
+++ b/command/src/main/kotlin/org/mulberrypin/command/CheckDocuments.kt
@@ -1,4 +1,4 @@
-/** Applies the checks to the two forms of a configuration: a deployment's document, and a patch of the own interface. */
+/** Applies the checks to both forms of a configuration: a deployment's document, and a patch of the own interface. */
 package org.mulberrypin.command
 
 import kotlinx.serialization.json.JsonArray
@@ -43,7 +43,7 @@
     return Outcome.Success(ConfigurationCheck(findings, differences))
 }
 
-/** Checks a patch; without a version in force, it is applied to an empty configuration of the version that it expects. */
+/** Checks a patch; without a version in force, it is applied to an empty configuration of the expected version. */
 internal fun checkPatchDocument(
     document: Document,
     readInForce: InForceReader?,
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/DeploymentInstance.kt
@@ -11,6 +11,7 @@
 import org.mulberrypin.decisions.traffic.TrafficEvent
 import org.mulberrypin.decisions.weights.WeightEvent
 import org.mulberrypin.platform.deployment.BackendCalls
+import org.mulberrypin.platform.deployment.ColdListener
 import org.mulberrypin.platform.deployment.DeploymentSettings
 import org.mulberrypin.platform.deployment.FrontAddresses
 import org.mulberrypin.platform.deployment.FrontEndPorts
@@ -59,9 +60,7 @@
     lateinit var traffic: TrafficDuty
     lateinit var control: ControlDuty
     val onLeaving = leavingListener({ traffic }, { control })
-    val onCold = { server: String, started: Long?, milliseconds: Long ->
-        traffic.enqueue(TrafficEvent.ServerCold(server, started, milliseconds))
-    }
+    val onCold = coldListener { traffic }
     val clients = httpClients(onLeaving, onCold)
     val store = httpRowStore(clients(settings.storeAddress), settings.storeAddress)
     val separateClients = httpClients(onLeaving, onCold)
@@ -72,16 +71,15 @@
     traffic = TrafficDuty(identity, trafficPorts(store, backends, control, clock, log, registry), coldLimits)
     lateinit var follow: FollowDuty
     val readiness = InstanceReadiness { maxOf(traffic.millisecondsSinceTick(), follow.millisecondsSinceTick()) }
-    val feedWaitMilliseconds = feedWaitMilliseconds(settings.contactMilliseconds)
-    follow = FollowDuty(store, followOutlets(traffic, control, readiness), feedWaitMilliseconds, clock, log)
+    val outlets = followOutlets(traffic, control, readiness)
+    follow = FollowDuty(store, outlets, feedWaitMilliseconds(settings.contactMilliseconds), clock, log)
     registry.gauge("duty.tick.age.milliseconds", readiness) { it.millisecondsSinceTick().toDouble() }
     val server = frontServer(addresses(settings, metricsPort), frontPorts(traffic, readiness, registry))
     server.start().join()
     traffic.start()
     control.start()
     follow.start()
-    val addresses = "store=${settings.storeAddress} callers=${settings.host}:${callerPort(server)}"
-    log.write("instance", identity.name, "started", inputs = "incarnation=${identity.incarnation} $addresses")
+    log.write("instance", identity.name, "started", inputs = startInputs(identity, settings, server))
     val shutdown = DeploymentShutdown(settings.graceMilliseconds, clock, readiness, traffic, control)
     val stopAll = {
         server.stop()
@@ -100,6 +98,17 @@
     }
 }
 
+private fun startInputs(
+    identity: InstanceIdentity,
+    settings: DeploymentSettings,
+    server: Server,
+): String =
+    "incarnation=${identity.incarnation} store=${settings.storeAddress} callers=${settings.host}:${callerPort(server)}"
+
+/** Tells the traffic duty how long a backend server stays cold. */
+private fun coldListener(traffic: () -> TrafficDuty): ColdListener =
+    { server, started, milliseconds -> traffic().enqueue(TrafficEvent.ServerCold(server, started, milliseconds)) }
+
 /** Tells both duties that choose backend servers of one that is leaving; they exist once the first response arrives. */
 private fun leavingListener(
     traffic: () -> TrafficDuty,
