--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficCounters.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficCounters.kt
@@ -5,6 +5,7 @@
 import io.micrometer.core.instrument.Timer
 import org.mulberrypin.decisions.traffic.ForecastKind
 import org.mulberrypin.decisions.traffic.LoadDecision
+import org.mulberrypin.decisions.traffic.TrafficState
 import java.time.Duration
 import java.util.concurrent.atomic.AtomicInteger
 
@@ -45,6 +46,19 @@
         forecasts = forecastCounters(registry),
     )
 
+/** Shows what the duty runs, as of [state]. */
+internal fun TrafficCounters.show(
+    state: TrafficState,
+    runningTasks: Int,
+) {
+    val cold = state.coldServers.servers.values
+        .count { it.isReportedCold }
+    jobs.set(state.jobs.size)
+    tasks.set(runningTasks)
+    evacuatedDomains.set(state.evacuatedDomains.size)
+    coldServers.set(cold)
+}
+
 /** Registers a latency histogram with buckets from the shortest to the longest expected latency. */
 private fun latencyHistogram(
     registry: MeterRegistry,
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
@@ -136,13 +136,7 @@
         removeFinished()
         openCalls.set(calls.size)
         runningTasks.set(taskCancellers.size)
-        ports.counters.jobs.set(state.jobs.size)
-        ports.counters.tasks.set(taskCancellers.size)
-        ports.counters.evacuatedDomains.set(state.evacuatedDomains.size)
-        ports.counters.coldServers.set(
-            state.coldServers.servers.values
-                .count { it.isReportedCold },
-        )
+        ports.counters.show(state, taskCancellers.size)
     }
 
     private fun tickMilliseconds(): Long {
