Keep all heartbeats together within a hundred a second

Cause: the rewritten test bounded only the heartbeats of watched instances; the others wrote each 3 s at most, 217 a second at 650 instances by arithmetic. Change: from 240 instances on their interval grows, so that they stay within eighty a second; the check over all instances is back beside the one for watched ones. By arithmetic, the new check fails without the change from 300 instances on; it was not run so.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/instances/HeartbeatCadence.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/instances/HeartbeatCadence.kt
@@ -34,8 +34,9 @@
     maxReadMilliseconds: Long,
 ): HeartbeatCadence =
     HeartbeatCadence(
-        writeMilliseconds = (instances * MILLISECONDS_PER_SECOND / MAX_UNWATCHED_HEARTBEATS_PER_SECOND)
-            .coerceIn(MIN_HEARTBEAT_INTERVAL_MILLISECONDS, MAX_HEARTBEAT_INTERVAL_MILLISECONDS),
+        writeMilliseconds = (instances * MILLISECONDS_PER_SECOND / USUAL_UNWATCHED_HEARTBEATS_PER_SECOND)
+            .coerceIn(MIN_HEARTBEAT_INTERVAL_MILLISECONDS, USUAL_MAX_HEARTBEAT_INTERVAL_MILLISECONDS)
+            .coerceAtLeast(instances * MILLISECONDS_PER_SECOND / MAX_UNWATCHED_HEARTBEATS_PER_SECOND),
         readMilliseconds = (instances * MILLISECONDS_PER_SECOND / MAX_UNWATCHED_READS_PER_SECOND)
             .coerceIn(MIN_HEARTBEAT_INTERVAL_MILLISECONDS, maxReadMilliseconds),
     )
@@ -55,8 +56,11 @@
 /** Maximum heartbeat rate of all watched instances: an eighth of the write rate of the smallest store in use. */
 private const val MAX_HEARTBEATS_PER_SECOND = 100L
 
-/** Heartbeat rate of all other instances together until their interval reaches its maximum. */
-private const val MAX_UNWATCHED_HEARTBEATS_PER_SECOND = 20L
+/** Heartbeat rate of all other instances together until their interval reaches its usual maximum. */
+private const val USUAL_UNWATCHED_HEARTBEATS_PER_SECOND = 20L
+
+/** Heartbeat rate that all other instances together never exceed; the rest of the budget is for watched ones. */
+private const val MAX_UNWATCHED_HEARTBEATS_PER_SECOND = 80L
 
 /** Rate of reads of all other instances together until their interval reaches its maximum. */
 private const val MAX_UNWATCHED_READS_PER_SECOND = 40L
@@ -64,6 +68,6 @@
 /** Minimum heartbeat interval in milliseconds: a sixth of the time that a lease takes to change its holder. */
 public const val MIN_HEARTBEAT_INTERVAL_MILLISECONDS: Long = 500
 
-/** Maximum heartbeat interval in milliseconds. */
-private const val MAX_HEARTBEAT_INTERVAL_MILLISECONDS = 3_000L
+/** Maximum heartbeat interval in milliseconds, except where so many instances would exceed the budget. */
+private const val USUAL_MAX_HEARTBEAT_INTERVAL_MILLISECONDS = 3_000L
 private const val MILLISECONDS_PER_SECOND = 1_000L
--- a/decisions/src/test/kotlin/org/mulberrypin/decisions/instances/HeartbeatCadenceTest.kt
+++ b/decisions/src/test/kotlin/org/mulberrypin/decisions/instances/HeartbeatCadenceTest.kt
@@ -20,6 +20,16 @@
         }
     }
 
+    @Test
+    fun `load pattern - many instances and few owners - all together stay within a hundred heartbeats a second`() {
+        listOf(12, 76, 300, 650, 1_000).forEach { instances ->
+            val watched = models.size * LIKELY_OWNERS
+            val watchedRate = watched * 1_000.0 / watchedCadence(watched).writeMilliseconds
+            val otherRate = (instances - watched) * 1_000.0 / unwatchedCadence(instances, 1_500).writeMilliseconds
+            expectThat(watchedRate + otherRate).isLessThanOrEqualTo(100.0)
+        }
+    }
+
     @Test
     fun `load pattern - many instances and few owners - calls per instance fall with the number of instances`() {
         val calls = listOf(12, 30, 82, 300, 650).map { instances ->
