Run no job under a configuration older than its acceptance

Cause: jobs and configurations reach an instance by two feeds without an order between them. The owner of the job had not read the configuration yet, and dispatchTask took the missing route for one that had ended.

Change: the row of a job states the configuration that accepted it. Until its owner has that version, it neither sends nor gives up its tasks. The same cause on related paths: paths that the older configuration leads elsewhere, expiry, scoring calls, and 401 or 404 to calls about the job.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DispatchTasks.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/DispatchTasks.kt
@@ -45,7 +45,7 @@
     nowMilliseconds: Long,
     expectedEvents: (RunningJob, TaskProgress) -> Long = ::expectedRemainingEvents,
 ): Transition<TrafficState, TrafficEffect> {
-    val oldestFirst = jobs.values.sortedBy { it.record.submittedWallMilliseconds }
+    val oldestFirst = runnableJobs().sortedBy { it.record.submittedWallMilliseconds }
     return if (hasRoomForAll(nowMilliseconds)) {
         withWorkShares { it.withWaiting(emptySet(), openFlows(), nowMilliseconds) }
             .dispatchAsSubmitted(oldestFirst, nowMilliseconds)
@@ -74,7 +74,7 @@
 
 /** Whether the engines of each job have a free slot for every task that waits, of whatever job. */
 private fun TrafficState.hasRoomForAll(nowMilliseconds: Long): Boolean {
-    val waiting = jobs.values.map { job ->
+    val waiting = runnableJobs().map { job ->
         job to job.tasks.values.filter { it.phase == TaskPhase.WAITING && it.notBeforeMilliseconds <= nowMilliseconds }
     }
     val count = waiting.sumOf { (_, tasks) -> tasks.size }
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RankJobs.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RankJobs.kt
@@ -7,12 +7,12 @@
 import org.mulberrypin.decisions.ordering.orderTasks
 import org.mulberrypin.schema.generated.ServingRoute
 
-/** The jobs of this instance, the oldest first. */
+/** The jobs of this instance that can run, the oldest first. */
 internal fun TrafficState.rankedJobs(
     nowMilliseconds: Long,
     expectedEvents: (RunningJob, TaskProgress) -> Long,
 ): List<RankedJob> =
-    jobs.values
+    runnableJobs()
         .sortedBy { it.record.submittedWallMilliseconds }
         .map { rankedJob(it, nowMilliseconds, expectedEvents) }
 
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunJobs.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunJobs.kt
@@ -37,7 +37,11 @@
 
         else -> {
             val owner = ownerOf(event.record)
-            val owned = event.record.copy(owner = owner.name, ownerIncarnation = owner.incarnation)
+            val owned = event.record.copy(
+                owner = owner.name,
+                ownerIncarnation = owner.incarnation,
+                configurationVersion = routing?.version ?: 0,
+            )
             val store = TrafficEffect.StoreJob(event.request, owned, event.submission, event.lengthHints)
             Transition(this, listOf(store))
         }
@@ -85,7 +89,8 @@
         "job loaded",
         identity.name,
         "version=${event.version} tasks=${job.tasks.size} listed=${job.storedResultCount} " +
-            "begun=${job.tasks.values.count { it.phase != TaskPhase.DONE && it.lastEvent > 0 }}",
+            "begun=${job.tasks.values.count { it.phase != TaskPhase.DONE && it.lastEvent > 0 }} " +
+            "accepted under configuration ${event.record.configurationVersion}, in force here ${routing?.version ?: 0}",
     )
     val loaded = Transition<TrafficState, TrafficEffect>(
         copy(jobs = jobs.put(id, job), loading = loading.remove(id)),
@@ -320,6 +325,7 @@
     job: RunningJob,
     wallMilliseconds: Long,
 ): Boolean {
+    if (!knowsConfigurationOf(job.record)) return false
     val expiry = routing?.findRoute(job.record.host, job.record.path)?.taskExpiryMilliseconds ?: 0L
     val age = wallMilliseconds - job.record.submittedWallMilliseconds
     return expiry > 0 && age >= expiry + CLOCK_SKEW_ALLOWANCE_MILLISECONDS
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunTasks.kt
@@ -21,6 +21,7 @@
     val task = job?.tasks?.get(taskId)
     return when {
         job == null || task == null || task.notBeforeMilliseconds > nowMilliseconds -> Transition(this)
+        !knowsConfigurationOf(job.record) -> Transition(this)
         task.phase == TaskPhase.SCORING -> dispatchScoring(job, task, nowMilliseconds)
         task.phase == TaskPhase.WAITING -> dispatchTask(job, task, nowMilliseconds)
         else -> Transition(this)
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/JobCalls.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/JobCalls.kt
@@ -3,6 +3,7 @@
 import org.mulberrypin.decisions.traffic.HttpStatusCode
 import org.mulberrypin.decisions.traffic.JobRow
 import org.mulberrypin.decisions.traffic.TrafficState
+import org.mulberrypin.decisions.traffic.knowsConfigurationOf
 import org.mulberrypin.platform.deployment.CallReply
 import org.mulberrypin.platform.deployment.CallTarget
 import org.mulberrypin.platform.deployment.IncomingCall
@@ -36,11 +37,19 @@
         val isAuthorized = routing != null && (!routing.requiresKeys || call.key in routing.teamByKey)
         when {
             routing == null -> reply(callNumber, unavailable("no configuration is known yet"))
-            !isAuthorized -> rejectKey(callNumber, call, routing.version)
-            else -> loadJob(callNumber, jobIdOf(call.target))
+            isAuthorized -> loadJob(callNumber, jobIdOf(call.target))
+            isOfNewerConfiguration(state().storedJobs[jobIdOf(call.target)]?.record) -> refuseNewerJob(callNumber)
+            else -> rejectKey(callNumber, call, routing.version)
         }
     }
 
+    /** Whether the configuration in force here is too old to tell who may not access the job. */
+    private fun isOfNewerConfiguration(record: JobRecord?): Boolean =
+        record != null && !state().knowsConfigurationOf(record)
+
+    private fun refuseNewerJob(callNumber: Long) =
+        reply(callNumber, unavailable("the job was accepted under a newer configuration than is in force here"))
+
     private fun rejectKey(
         callNumber: Long,
         call: IncomingCall,
@@ -73,6 +82,7 @@
         val found = (outcome as Outcome.Success).value
         val team = call.key?.let { state().routing?.teamByKey?.get(it) }.orEmpty()
         if (found == null || found.record.team != team) {
+            if (isOfNewerConfiguration(found?.record)) return refuseNewerJob(signal.callNumber)
             val inputs = "known=${found != null} team=$team"
             ports.log.write(SOURCE, jobIdOf(call.target), "not found ${HttpStatusCode.NOT_FOUND}", "store", inputs)
             return reply(signal.callNumber, CallReply.Local(HttpStatusCode.NOT_FOUND, "no such job"))
--- a/service/src/test/kotlin/org/mulberrypin/service/deployment/JobCallsTest.kt
+++ b/service/src/test/kotlin/org/mulberrypin/service/deployment/JobCallsTest.kt
@@ -1,17 +1,24 @@
-/** Replies to callers when the write of a job's end fails. */
+/** Replies to callers when the write of a job's end fails, or when the configuration is older than the job. */
 package org.mulberrypin.service.deployment
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
+import kotlinx.collections.immutable.persistentMapOf
 import org.junit.jupiter.api.Test
 import org.mulberrypin.decisions.traffic.InstanceIdentity
+import org.mulberrypin.decisions.traffic.StoredJob
 import org.mulberrypin.decisions.traffic.TrafficState
+import org.mulberrypin.decisions.traffic.routingTableOf
 import org.mulberrypin.platform.deployment.BackendCalls
 import org.mulberrypin.platform.deployment.CallReply
+import org.mulberrypin.platform.deployment.CallTarget
+import org.mulberrypin.platform.deployment.IncomingCall
 import org.mulberrypin.runtime.Fault
 import org.mulberrypin.runtime.FaultKind
 import org.mulberrypin.runtime.Outcome
 import org.mulberrypin.runtime.manualClock
 import org.mulberrypin.schema.generated.JobRecord
+import org.mulberrypin.schema.generated.ServingConfiguration
+import org.mulberrypin.schema.generated.ServingTeam
 import strikt.api.expectThat
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
@@ -38,8 +45,40 @@
         }
     }
 
+    /** Guards against denying a job, for good, to the key of a team that only a newer configuration has. */
+    @Test
+    fun `a key that only the configuration of the job may know is answered with 503`() {
+        expectThat(replyUnder(acceptedUnder = 2)).isA<CallReply.Local>().get { status }.isEqualTo(503)
+        expectThat(replyUnder(acceptedUnder = 1)).isA<CallReply.Local>().get { status }.isEqualTo(401)
+    }
+
+    private fun replyUnder(acceptedUnder: Long): CallReply {
+        val configuration = ServingConfiguration(version = 1, teams = listOf(ServingTeam("team", listOf("key"))))
+        val record = JobRecord(id = "job", team = "other", configurationVersion = acceptedUnder)
+        val state = TrafficState(
+            InstanceIdentity("entry-1", 1, "zone-a"),
+            routing = routingTableOf(configuration),
+            storedJobs = persistentMapOf("job" to StoredJob(record, 5)),
+        )
+        val replies = ArrayList<CallReply>()
+        val target = CallTarget.Results("job", 0, 0)
+        val call = IncomingCall("id", "GET", "host", "/", "unknown", null, emptyList(), ByteArray(0), target) {}
+        jobCalls(state, replies).startCall(1, call)
+        return expectThat(replies).get { single() }.subject
+    }
+
     private fun replyTo(kind: FaultKind): CallReply {
         val replies = ArrayList<CallReply>()
+        val calls = jobCalls(TrafficState(InstanceIdentity("entry-1", 1, "zone-a")), replies)
+        val failure = Outcome.Failure(Fault("end the job", "store", kind, "test"))
+        calls.handleEndWritten(TrafficSignal.EndWritten(1, JobRecord(id = "job"), failure), call = null)
+        return expectThat(replies).get { single() }.subject
+    }
+
+    private fun jobCalls(
+        state: TrafficState,
+        replies: MutableList<CallReply>,
+    ): JobCalls {
         val store = FakeRowStore(emptyList()).store
         val ports =
             TrafficPorts(
@@ -52,11 +91,7 @@
                 {},
                 {},
             )
-        val state = TrafficState(InstanceIdentity("entry-1", 1, "zone-a"))
-        val calls = JobCalls(JobStore(store, log), ports, { state }, {}, { _, reply -> replies.add(reply) })
-        val failure = Outcome.Failure(Fault("end the job", "store", kind, "test"))
-        calls.handleEndWritten(TrafficSignal.EndWritten(1, JobRecord(id = "job"), failure), call = null)
-        return expectThat(replies).get { single() }.subject
+        return JobCalls(JobStore(store, log), ports, { state }, {}, { _, reply -> replies.add(reply) })
     }
 
     private companion object {
