Run no stored job that may have run already

Cause: the owner learned of a new job's row by its feed, ran the job and completed it before the write of the row timed out. The write then turned out to have been applied, and handleJobStored loaded the job as new, without its results. Reading the rows again after the conflict that followed left running tasks as they were, so their results were written behind the last position.

Change: only a job no task of which can have run here is started from its submission; any other row is treated like one of the feed. The row that completes a job is known as soon as it is written, a complete job is dropped, and tasks that the store lists already are stopped.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunJobs.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunJobs.kt
@@ -52,12 +52,25 @@
     event: TrafficEvent.JobStored,
     nowMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> {
-    val updated = copy(storedJobs = storedJobs.put(event.record.id, StoredJob(event.record, event.version)))
-    val loaded = TrafficEvent.JobLoaded(event.record, event.version, event.submission, event.lengthHints, emptyList())
-    val accepted = listOf(TrafficEffect.AcceptJob(event.request))
-    val isOwn = isOwn(event.record) && event.record.id !in jobs
-    val next = if (isOwn) updated.loadJob(loaded, nowMilliseconds) else Transition(updated)
-    return next.copy(effects = accepted + next.effects)
+    val next = if (isOwn(event.record) && hasNeverRun(event)) {
+        val loaded =
+            TrafficEvent.JobLoaded(event.record, event.version, event.submission, event.lengthHints, emptyList())
+        copy(storedJobs = storedJobs.put(event.record.id, StoredJob(event.record, event.version)))
+            .loadJob(loaded, nowMilliseconds)
+    } else {
+        handleJobRow(JobRow(event.record.id, event.record, event.version), nowMilliseconds)
+    }
+    return next.copy(effects = listOf(TrafficEffect.AcceptJob(event.request)) + next.effects)
+}
+
+/**
+ * Whether no task of a stored job can have run here. The feed may tell of a job's row long before the outcome of its
+ * write is known, so that the job may be running, complete or released by then.
+ */
+private fun TrafficState.hasNeverRun(event: TrafficEvent.JobStored): Boolean {
+    val known = storedJobs[event.record.id]
+    val isUnchanged = known == null || (known.version == event.version && !draining)
+    return isUnchanged && event.record.id !in jobs
 }
 
 /** Starts a job from its rows in the store, or updates a running job to match them. */
@@ -68,6 +81,7 @@
     val id = event.record.id
     val running = jobs[id]
     if (isOutdated(event)) return Transition(this)
+    if (event.record.complete) return copy(loading = loading.remove(id)).dropJob(id, "complete")
     if (!isOwn(event.record) || event.record.ended) return dropJob(id, "ended or owned by ${event.record.owner}")
     val storedResults = event.storedResults.toSet()
     val job = if (running == null) {
@@ -96,7 +110,11 @@
         copy(jobs = jobs.put(id, job), loading = loading.remove(id)),
         listOf(explanation),
     )
-    return loaded.andThen { it.writeResults(id, nowMilliseconds) }.andThen { it.dispatchTasks(nowMilliseconds) }
+    return loaded
+        .andThen {
+            it.stopListedTasks(id, storedResults)
+        }.andThen { it.writeResults(id, nowMilliseconds) }
+        .andThen { it.dispatchTasks(nowMilliseconds) }
 }
 
 /** Whether the loaded rows are older than the known state of the job, since several reads may be pending at once. */
@@ -148,28 +166,6 @@
     return decideEach(own) { state, stored -> state.loadOwnJob(stored.record, nowMilliseconds) }
 }
 
-/** Stops running a job and cancels its attempts and scoring calls. */
-internal fun TrafficState.dropJob(
-    id: String,
-    reason: String,
-): Transition<TrafficState, TrafficEffect> {
-    val job = jobs[id] ?: return Transition(this)
-    val running = job.tasks.values.filter { it.phase == TaskPhase.RUNNING }
-    val scorings = requests.values.filter { (it.origin as? Origin.Scoring)?.job == id }
-    var released = backends
-    running.forEach { task -> released = released.updated(task.server.orEmpty(), Backend::released) }
-    scorings.mapNotNull { it.server }.forEach { released = released.updated(it, Backend::released) }
-    var openRequests = requests
-    scorings.forEach { openRequests = openRequests.remove(it.request) }
-    val inputs = "$reason; running=${running.size} listed=${job.storedResultCount} of ${job.tasks.size}"
-    return Transition(
-        copy(jobs = jobs.remove(id), backends = released, requests = openRequests),
-        listOf(TrafficEffect.RecordDecision(id, "job dropped", identity.name, inputs)) +
-            running.map { TrafficEffect.CancelTask(id, it.task.id) } +
-            scorings.map { TrafficEffect.Cancel(it.request) },
-    )
-}
-
 internal fun TrafficState.handleJobRows(
     rows: List<JobRow>,
     nowMilliseconds: Long,
@@ -265,7 +261,8 @@
         )
     }
     if (next.storedResultCount >= next.tasks.size) {
-        return Transition<TrafficState, TrafficEffect>(this, explanations).andThen { it.dropJob(id, "complete") }
+        val complete = copy(storedJobs = storedJobs.put(id, StoredJob(event.batch.record, event.version)))
+        return Transition<TrafficState, TrafficEffect>(complete, explanations).andThen { it.dropJob(id, "complete") }
     }
     return Transition<TrafficState, TrafficEffect>(copy(jobs = jobs.put(id, next)), explanations)
         .andThen { it.writeResults(id, nowMilliseconds) }
