Count the time for lapsed entries from the store's return

Cause: an entry that disappeared within 2 s of the last failed call was retained for 2.3 s from its disappearance. A call sent just before a silent store's return fails 2.1 s after it, and the next call waited for a change before it told of the return.

--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/FollowDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/FollowDuty.kt
@@ -108,8 +108,7 @@
         val after = change(before)
         tables = tables + (table to after)
         logFeedState(before, after)
-        val isBackends = table == PlatformTables.BACKEND_SERVERS
-        if (isBackends && after.failures > 0) backendEntries = backendEntries.copy(lastStoreFailureMilliseconds = now)
+        if (table == PlatformTables.BACKEND_SERVERS) backendEntries = backendEntries.observeStore(before, after, now)
         if (after.version != null && (after.rows != before.rows || before.version == null)) publish(before, after, now)
         sendNextCall(after, now)
     }
