--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunJobs.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunJobs.kt
@@ -77,12 +77,22 @@
 internal fun TrafficState.loadJob(
     event: TrafficEvent.JobLoaded,
     nowMilliseconds: Long,
+): Transition<TrafficState, TrafficEffect> {
+    val record = event.record
+    return when {
+        isOutdated(event) -> Transition(this)
+        record.complete -> copy(loading = loading.remove(record.id)).dropJob(record.id, "complete")
+        !isOwn(record) || record.ended -> dropJob(record.id, "ended or owned by ${record.owner}")
+        else -> startOrUpdateJob(event, nowMilliseconds)
+    }
+}
+
+private fun TrafficState.startOrUpdateJob(
+    event: TrafficEvent.JobLoaded,
+    nowMilliseconds: Long,
 ): Transition<TrafficState, TrafficEffect> {
     val id = event.record.id
     val running = jobs[id]
-    if (isOutdated(event)) return Transition(this)
-    if (event.record.complete) return copy(loading = loading.remove(id)).dropJob(id, "complete")
-    if (!isOwn(event.record) || event.record.ended) return dropJob(id, "ended or owned by ${event.record.owner}")
     val storedResults = event.storedResults.toSet()
     val job = if (running == null) {
         val fresh = newJob(event, storedResults)
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/FollowTable.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/FollowTable.kt
@@ -60,8 +60,8 @@
 /**
  * Returns the next call and the state after it is sent; null while a call is in flight or a retry is delayed. A call
  * that is far past its timeout has lost its response inside this process and counts as failed, since the table would
- * otherwise be followed no more. After a failure, the store is asked to answer at once, since its return would be noticed
- * only with the next change otherwise.
+ * otherwise be followed no more. After a failure, the store is asked to answer at once, since its return would be
+ * noticed only with the next change otherwise.
  */
 internal fun FollowedTable.nextCall(nowMilliseconds: Long): Pair<FollowedTable, FollowCall>? {
     val isLost = callNumber != 0L && nowMilliseconds - sentAtMilliseconds > LOST_CALL_MILLISECONDS
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/JobCalls.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/JobCalls.kt
@@ -82,10 +82,7 @@
         val found = (outcome as Outcome.Success).value
         val team = call.key?.let { state().routing?.teamByKey?.get(it) }.orEmpty()
         if (found == null || found.record.team != team) {
-            if (isOfNewerConfiguration(found?.record)) return refuseNewerJob(signal.callNumber)
-            val inputs = "known=${found != null} team=$team"
-            ports.log.write(SOURCE, jobIdOf(call.target), "not found ${HttpStatusCode.NOT_FOUND}", "store", inputs)
-            return reply(signal.callNumber, CallReply.Local(HttpStatusCode.NOT_FOUND, "no such job"))
+            return refuseOtherJob(signal.callNumber, call, found, team)
         }
         when (val target = call.target) {
             is CallTarget.Results -> startRead(signal.callNumber, found.record, target)
@@ -95,6 +92,19 @@
         }
     }
 
+    /** Refuses access to a job that does not exist or belongs to another team than [team]. */
+    private fun refuseOtherJob(
+        callNumber: Long,
+        call: IncomingCall,
+        found: StoredJob?,
+        team: String,
+    ) {
+        if (isOfNewerConfiguration(found?.record)) return refuseNewerJob(callNumber)
+        val inputs = "known=${found != null} team=$team"
+        ports.log.write(SOURCE, jobIdOf(call.target), "not found ${HttpStatusCode.NOT_FOUND}", "store", inputs)
+        reply(callNumber, CallReply.Local(HttpStatusCode.NOT_FOUND, "no such job"))
+    }
+
     private fun startRead(
         callNumber: Long,
         record: JobRecord,
--- a/service/src/test/kotlin/org/mulberrypin/service/deployment/SilentStoreTest.kt
+++ b/service/src/test/kotlin/org/mulberrypin/service/deployment/SilentStoreTest.kt
@@ -10,9 +10,9 @@
 import strikt.assertions.isEmpty
 
 /**
- * Guards against using a backend server that leaves some seconds after an outage of the store as if its entry had lapsed
- * in the outage, and against giving up servers whose entries did lapse in it. Plays a silent store in virtual time, for
- * outages of several lengths that begin at any phase of the feed's calls.
+ * Guards against using a backend server that leaves some seconds after an outage of the store as if its entry had
+ * lapsed in the outage, and against giving up servers whose entries did lapse in it. Plays a silent store in virtual
+ * time, for outages of several lengths that begin at any phase of the feed's calls.
  */
 class SilentStoreTest {
     private val leaving = StoredRow("servers", "", "leaving", "entry", version = 1)
@@ -70,8 +70,7 @@
             .filter(isBroken)
 
     /**
-     * Plays the feed in steps of 10 ms. The store answers calls of [outage] and calls that it held when the outage began
-     * never; it applies [changes] at the times that are their keys.
+     * Plays the feed in steps of 10 ms.
      *
      * @return the identifiers of the usable servers at each moment
      */
@@ -79,13 +78,12 @@
         outage: LongRange,
         changes: Map<Long, List<StoredRow>>,
     ): Map<Long, Set<String>> {
-        var entries = LapsedEntries()
         var table = FollowedTable("servers", listOf(""), FEED_WAIT_MILLISECONDS).copy(
             rows = listOf(leaving, lapsing).associateBy { it.partition to it.key },
             unreadPartitions = emptyList(),
             version = 2,
         )
-        entries = entries.update(table.rows.values.associateBy(StoredRow::key), 0)
+        var entries = LapsedEntries().update(table.rows.values.associateBy(StoredRow::key), 0)
         var waitMilliseconds = 0L
         val usable = LinkedHashMap<Long, Set<String>>()
         for (now in 0..START_MILLISECONDS + 20_000 step 10) {
@@ -94,22 +92,8 @@
                 waitMilliseconds = (call as FollowCall.Follow).feed.waitMilliseconds
             }
             val before = table
-            val isSilent = table.sentAtMilliseconds <= outage.last && now >= outage.first
-            val news = changes
-                .filterKeys { it <= now }
-                .values
-                .flatten()
-                .filter { it.version > (table.version ?: 0) }
-            val age = now - table.sentAtMilliseconds
-            val outcome: Outcome<FeedResult>? = when {
-                table.callNumber == 0L -> null
-                isSilent && age >= waitMilliseconds + FEED_MARGIN_MILLISECONDS -> noAnswer
-                isSilent -> null
-                news.isNotEmpty() || age >= waitMilliseconds -> changes(news, table.version ?: 0)
-                else -> null
-            }
-            if (outcome != null) {
-                table = table.applyFeed(table.callNumber, outcome, now)
+            responseTo(table, waitMilliseconds, now, outage, changes)?.let { response ->
+                table = table.applyFeed(table.callNumber, response, now)
                 entries = entries.observeStore(before, table, now)
             }
             if (table.rows != before.rows || entries.hasExpired(now)) {
@@ -120,6 +104,30 @@
         return usable
     }
 
+    /**
+     * The store never answers calls of [outage] and calls that it held when the outage began; it applies [changes] at
+     * the times that are their keys.
+     */
+    private fun responseTo(
+        table: FollowedTable,
+        waitMilliseconds: Long,
+        now: Long,
+        outage: LongRange,
+        changes: Map<Long, List<StoredRow>>,
+    ): Outcome<FeedResult>? {
+        if (table.callNumber == 0L) return null
+        val age = now - table.sentAtMilliseconds
+        val isSilent = table.sentAtMilliseconds <= outage.last && now >= outage.first
+        if (isSilent) return noAnswer.takeIf { age >= waitMilliseconds + FEED_MARGIN_MILLISECONDS }
+        val known = table.version ?: 0
+        val news = changes
+            .filterKeys { it <= now }
+            .values
+            .flatten()
+            .filter { it.version > known }
+        return changes(news, known).takeIf { news.isNotEmpty() || age >= waitMilliseconds }
+    }
+
     private fun changes(
         rows: List<StoredRow>,
         version: Long,
