Check the raw bytes of responses before the HTTP codec

Callers got answers with the status 000, and answers in whose head the name of a field held a blank or a control character, in part with a body that was not the server's (MIXED).

Cause: the codec is lenient, and JoinedResponseHandler stands behind it. Such answers were taken by every kind of call; a status of 000 to an order, a usage report or an order for engines even counted as "not run".

Change: ResponseSyntaxHandler reads status lines, fields, lengths, chunks and trailers as they arrive. At the first fault it closes the connection; the call fails as one that may have run, with the reason, and is no sign of a crash.

--- a/command/src/main/kotlin/org/mulberrypin/command/OperatorClient.kt
+++ b/command/src/main/kotlin/org/mulberrypin/command/OperatorClient.kt
@@ -5,6 +5,7 @@
 package org.mulberrypin.command
 
 import com.linecorp.armeria.client.BlockingWebClient
+import com.linecorp.armeria.client.ClientFactory
 import com.linecorp.armeria.client.UnprocessedRequestException
 import com.linecorp.armeria.client.WebClient
 import com.linecorp.armeria.common.AggregatedHttpResponse
@@ -15,6 +16,7 @@
 import com.linecorp.armeria.common.HttpStatus
 import com.linecorp.armeria.common.MediaType
 import com.linecorp.armeria.common.RequestHeaders
+import org.mulberrypin.platform.requireOrderlyEnds
 import org.mulberrypin.runtime.Fault
 import org.mulberrypin.runtime.FaultKind
 import org.mulberrypin.runtime.Outcome
@@ -129,6 +131,7 @@
 private fun blockingClient(address: String): BlockingWebClient =
     WebClient
         .builder("http://$address")
+        .factory(ClientFactory.builder().requireOrderlyEnds().build())
         .responseTimeout(responseTimeout)
         .build()
         .blocking()
--- a/service/src/main/kotlin/org/mulberrypin/service/requests/ArmeriaBackendClient.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/requests/ArmeriaBackendClient.kt
@@ -19,6 +19,7 @@
 import com.linecorp.armeria.common.RequestHeaders
 import com.linecorp.armeria.common.util.Exceptions
 import org.mulberrypin.decisions.requests.AttemptEnding
+import org.mulberrypin.platform.MalformedResponseException
 import org.mulberrypin.platform.requireOrderlyEnds
 import org.mulberrypin.runtime.Outcome
 import org.mulberrypin.runtime.parseWireJson
@@ -135,16 +136,17 @@
 
 /**
  * Reports a failed exchange. Only a request that is known not to have been processed counts as not sent; a response to
- * another request is no crash of the server.
+ * another request, or one that breaks the protocol, is no crash of the server.
  */
 internal fun BackendListener.reportFailure(failure: Throwable) {
     val cause = Exceptions.peel(failure)
+    val malformed = generateSequence(cause) { it.cause }.firstOrNull { it is MalformedResponseException }
     val ending = when (cause) {
         is UnprocessedRequestException -> AttemptEnding.NOT_SENT
         is ForeignResponseException -> AttemptEnding.FAILED
-        else -> AttemptEnding.CUT
+        else -> if (malformed == null) AttemptEnding.CUT else AttemptEnding.FAILED
     }
-    onFailed(ending, cause.javaClass.simpleName + ".")
+    onFailed(ending, malformed?.message ?: (cause.javaClass.simpleName + "."))
 }
 
 /** Returns true if an error response of a backend server states that it did not run the request. */
--- a/service/src/main/kotlin/org/mulberrypin/service/rollouts/Scorer.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/rollouts/Scorer.kt
@@ -1,9 +1,11 @@
 /** The scoring function of the rollout part and its implementations. */
 package org.mulberrypin.service.rollouts
 
+import com.linecorp.armeria.client.ClientFactory
 import com.linecorp.armeria.client.WebClient
 import com.linecorp.armeria.common.HttpStatus
 import com.linecorp.armeria.common.MediaType
+import org.mulberrypin.platform.requireOrderlyEnds
 import org.mulberrypin.runtime.Fault
 import org.mulberrypin.runtime.FaultKind
 import org.mulberrypin.runtime.Outcome
@@ -30,6 +32,7 @@
 ): Scorer {
     val client = WebClient
         .builder("http://$address")
+        .factory(ClientFactory.builder().requireOrderlyEnds().build())
         .responseTimeout(Duration.ofMillis(timeoutMilliseconds))
         .build()
         .blocking()
