Require keys while the list of teams is empty

Cause: requiresKeys was true only if there was a team, so that an empty list, or one without a readable entry, passed for a configuration without the list.

Change: the decoded configuration states whether it has the list; the check of a configuration reports the routes that nobody can use then.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/checks/UnmatchedServingEntries.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/checks/UnmatchedServingEntries.kt
@@ -47,7 +47,8 @@
         }
 
 private fun findRoutesWithoutKeys(configuration: ServingConfiguration): List<ConfigurationFinding> {
-    val needsKeys = configuration.teams.isNotEmpty() && configuration.teams.all { it.keys.isEmpty() }
+    val requiresKeys = configuration.requiresKeys || configuration.teams.isNotEmpty()
+    val needsKeys = requiresKeys && configuration.teams.all { it.keys.isEmpty() }
     if (!needsKeys) return emptyList()
     return configuration.routes
         .filter { !it.openToAll }
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RoutingTable.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RoutingTable.kt
@@ -8,7 +8,8 @@
  *
  * @property routesByHost routes of each host, the longest path prefix first
  * @property teamByKey team of each API key
- * @property requiresKeys true if the configuration has teams; without teams, requests need no key
+ * @property requiresKeys true if the configuration has a list of teams, also an empty one; without one, requests need no
+ *   key
  * @property modelsByPool models that the engines of each pool serve
  * @property priorityByTeam priority of each team that has one of its own
  * @property serverPriorities priority that backend servers are told, by priority; empty if all work has the same one
@@ -31,7 +32,7 @@
             .groupBy { it.host }
             .mapValues { (_, routes) -> routes.sortedByDescending { it.pathPrefix.length } },
         teamByKey = configuration.teams.flatMap { team -> team.keys.map { it to team.name } }.toMap(),
-        requiresKeys = configuration.teams.isNotEmpty(),
+        requiresKeys = configuration.requiresKeys || configuration.teams.isNotEmpty(),
         modelsByPool = configuration.pools.associate { it.name to it.models },
         priorityByTeam = configuration.teams.mapNotNull { team -> team.priority?.let { team.name to it } }.toMap(),
         serverPriorities = serverPrioritiesOf(configuration),
