--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RoutingTable.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RoutingTable.kt
@@ -8,8 +8,8 @@
  *
  * @property routesByHost routes of each host, the longest path prefix first
  * @property teamByKey team of each API key
- * @property requiresKeys true if the configuration has a list of teams, also an empty one; without one, requests need no
- *   key
+ * @property requiresKeys true if the configuration has a list of teams, also an empty one; without one, requests need
+ *   no key
  * @property modelsByPool models that the engines of each pool serve
  * @property priorityByTeam priority of each team that has one of its own
  * @property serverPriorities priority that backend servers are told, by priority; empty if all work has the same one
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunJobs.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunJobs.kt
@@ -121,9 +121,8 @@
         listOf(explanation),
     )
     return loaded
-        .andThen {
-            it.stopListedTasks(id, storedResults)
-        }.andThen { it.writeResults(id, nowMilliseconds) }
+        .andThen { it.stopListedTasks(id, storedResults) }
+        .andThen { it.writeResults(id, nowMilliseconds) }
         .andThen { it.dispatchTasks(nowMilliseconds) }
 }
 
