--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# Builds the stand-ins that the scripts of review/11 to review/15 start.
+set -eu
+cd "$(dirname "$0")/.."
+rm -rf target/review-3
+mkdir -p target/review-3
+javac -d target/review-3 review/stand-ins-3/*.java
