Review: characters beyond the BMP are damaged in long texts

The record of a result is cut every 20,000 UTF-16 units, also between the halves of a character; two of four texts of about 26,000 units are listed as completed with "??" in place of a character.

The stand-in of the engine has texts of its own now.

--- a/review/stand-ins-3/Engine.java
+++ b/review/stand-ins-3/Engine.java
@@ -4,6 +4,7 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BiFunction;
 
 /** A model engine. It streams the events of each request, resumes after Last-Event-Id and takes weight orders. */
 final class Engine {
@@ -28,6 +29,9 @@
     volatile int events = 6;
     volatile long pauseMilliseconds = 50;
 
+    /** The data of an event, by the request's identifier and the number of the event from 1. */
+    volatile BiFunction<String, Long, String> data = (id, event) -> "part " + event + " of " + id;
+
     Engine(Store store, String name, Record record) throws IOException {
         this.store = store;
         this.name = name;
@@ -88,7 +92,7 @@
             + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
         for (long event = run.lastEvent + 1; event <= events; event++) {
             Thread.sleep(pauseMilliseconds);
-            chunk(connection, "id: " + event + "\ndata: part " + event + " of " + id + "\n\n");
+            chunk(connection, "id: " + event + "\ndata: " + data.apply(id, event) + "\n\n");
         }
         connection.write("0\r\n\r\n");
     }
