--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 rm -rf target/review-3
 mkdir -p target/review-3
-javac -d target/review-3 review/stand-ins-3/*.java
+javac -encoding UTF-8 -d target/review-3 review/stand-ins-3/source/*.java
