Review: cases 13 and 15 inside the doses of the site file

Case 13 had stopped every second answer of both engines, where garble has share 0.35 and x 0.02; now one of three engines stops one answer of fifty for 5.4 s. Case 15 had consumers leave for 20 s; now two of five leave for 6 s, as in the largest give_up of the site file (share 0.4, x 900, for_s 6).

--- a/review/stand-ins-3/source/CaseGone.java
+++ b/review/stand-ins-3/source/CaseGone.java
@@ -11,10 +11,12 @@
 
 /** GONE: consumers close their channels, and the servers' work for them goes on, or begins anew, long after that. */
 final class CaseGone {
-    /** Consumers, of whom a fifth leaves; one begins every 400 ms. */
-    private static final int CONSUMERS = 50;
-    private static final int LEAVING_OF = 5;
-    private static final long GAP_MILLISECONDS = 400;
+    /** Consumers, of whom one begins every 150 ms; give_up holds for 6 s, for two of five, within 900 ms. */
+    private static final int CONSUMERS = 80;
+    private static final int FIRST_LEAVING = 20;
+    private static final int LAST_LEAVING = 59;
+    private static final int GROUP = 5;
+    private static final long GAP_MILLISECONDS = 150;
 
     /** Bounds of the rule: half a second, "more than a few" requests, a quarter of the requests. */
     private static final long ALLOWED_MILLISECONDS = 500;
@@ -44,9 +46,10 @@
         CountDownLatch ended = new CountDownLatch(CONSUMERS);
         List<String> leaving = new ArrayList<>();
         for (int number = 0; number < CONSUMERS; number++) {
-            boolean leaves = hasTrouble && number % LEAVING_OF == 0;
+            boolean isInTime = number >= FIRST_LEAVING && number <= LAST_LEAVING;
+            boolean leaves = hasTrouble && isInTime && number % GROUP < 2;
             // Of those that leave, every second one does so late and has long work, which is sent to a second server.
-            boolean hasLongWork = leaves && number % (2 * LEAVING_OF) == 0;
+            boolean hasLongWork = leaves && number % GROUP == 0;
             String id = "check-" + number + "-work-" + (hasLongWork ? 2_600 : 1_300);
             if (leaves) leaving.add(id);
             long stay = !leaves ? 0 : hasLongWork ? 800 : 200;
--- a/review/stand-ins-3/source/CaseStream.java
+++ b/review/stand-ins-3/source/CaseStream.java
@@ -1,9 +1,22 @@
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** ORDER: an engine stops in the middle of an event, and the consumer gets the beginning as a whole stream. */
 final class CaseStream {
     private static final int EVENTS = 6;
-    private static final int REQUESTS = 8;
+    private static final int CONSUMERS = 10;
+
+    /** Doses of garble in the site file: a share of 0.35 of the engines, 0.02 of their answers, for 5.5 s. */
+    private static final int ENGINES = 3;
+    private static final String FAULTY = "engine-1";
+    private static final int ONE_ANSWER_OF = 50;
+    private static final long TRAFFIC_MILLISECONDS = 5_400;
+
+    private static final AtomicInteger faultyRuns = new AtomicInteger();
+    private static final AtomicInteger stops = new AtomicInteger();
+    private static final AtomicInteger whole = new AtomicInteger();
+    private static final AtomicInteger broken = new AtomicInteger();
 
     public static void main(String[] arguments) {
         Scene.play(arguments, CaseStream::run);
@@ -20,31 +33,40 @@
 
     private static boolean run(Scene scene, boolean hasTrouble) throws Exception {
         scene.store.put("op", "config", configuration());
-        AtomicInteger runs = new AtomicInteger();
-        for (int number = 1; number <= 2; number++) startEngine(scene, "engine-" + number, hasTrouble, runs);
+        for (int number = 1; number <= ENGINES; number++) startEngine(scene, "engine-" + number, hasTrouble);
         Entry entry = scene.start("front-zone-a-1", "zone-a");
         entry.awaitReady();
         Thread.sleep(3_500);
-        int broken = 0;
-        int whole = 0;
-        for (int number = 1; number <= REQUESTS; number++) {
-            String id = "stream-" + number;
-            Http.Message answer = scene.request(entry, id, "POST", "/texts/" + number, "key-1", "a");
-            if (answer == null || answer.status() != 200) continue;
-            String framing = answer.headers.containsKey("Content-Length")
-                ? "Content-Length " + answer.header("Content-Length") : "Transfer-Encoding "
-                + answer.header("Transfer-Encoding");
-            if (answer.text().equals(events(id, EVENTS))) {
-                whole++;
-            } else {
-                broken++;
-                scene.record.add("ORDER id=" + id + ": a 200 that is complete by its framing (" + framing
-                    + ") ends within an event: ..." + ending(answer.text()));
-            }
+        long end = scene.record.milliseconds() + TRAFFIC_MILLISECONDS;
+        AtomicInteger number = new AtomicInteger();
+        List<Thread> consumers = new ArrayList<>();
+        for (int consumer = 0; consumer < CONSUMERS; consumer++) {
+            Thread thread = new Thread(() -> {
+                while (scene.record.milliseconds() < end) consume(scene, entry, number.incrementAndGet());
+            });
+            consumers.add(thread);
+            thread.start();
         }
-        scene.record.add("whole=" + whole + " ended within an event=" + broken + " of " + REQUESTS);
-        if (runs.get() < REQUESTS) throw new IllegalStateException("the engines ran only " + runs + " requests");
-        return broken == 0;
+        for (Thread thread : consumers) thread.join();
+        scene.record.add("whole=" + whole + " ended within an event=" + broken + "; " + FAULTY + " stopped " + stops
+            + " of " + faultyRuns + " answers, the other engines none");
+        if (hasTrouble && stops.get() == 0) throw new IllegalStateException(FAULTY + " has given too few answers");
+        if (stops.get() * ONE_ANSWER_OF > faultyRuns.get()) throw new IllegalStateException("more stops than allowed");
+        if (whole.get() < ONE_ANSWER_OF) throw new IllegalStateException("too few whole streams");
+        return broken.get() == 0;
+    }
+
+    private static void consume(Scene scene, Entry entry, int number) {
+        String id = "stream-" + number;
+        Http.Message answer = scene.request(entry, id, "POST", "/texts/" + number, "key-1", "a");
+        if (answer == null || answer.status() != 200) return;
+        if (answer.text().equals(events(id, EVENTS))) {
+            whole.incrementAndGet();
+            return;
+        }
+        broken.incrementAndGet();
+        scene.record.add("ORDER id=" + id + ": a 200 that is complete by its framing (Content-Length "
+            + answer.header("Content-Length") + ") ends within an event: ..." + ending(answer.text()));
     }
 
     private static String ending(String text) {
@@ -60,9 +82,9 @@
         return out.toString();
     }
 
-    /** Each answer has no length and ends with its channel. In trouble every second one stops within its last event. */
-    private static void startEngine(Scene scene, String name, boolean hasTrouble, AtomicInteger runs)
-        throws Exception {
+    /** All answers have no length and end with their channels. In trouble one engine stops one of fifty. */
+    private static void startEngine(Scene scene, String name, boolean hasTrouble) throws Exception {
+        AtomicInteger runs = new AtomicInteger();
         Http.Server server = new Http.Server("127.0.0.1", 0, (request, connection) -> {
             String id = request.header("Mulberrypin-Request-Id");
             String expected = request.header("Mulberrypin-Expect-Instance");
@@ -71,15 +93,17 @@
                 return;
             }
             int run = runs.incrementAndGet();
-            boolean stops = hasTrouble && run % 2 == 0;
-            scene.record.add("run at " + name + " id=" + id + (stops ? ", stops within event " + EVENTS : ""));
+            if (name.equals(FAULTY)) faultyRuns.incrementAndGet();
+            boolean isStopped = hasTrouble && name.equals(FAULTY) && run % ONE_ANSWER_OF == 0;
+            if (isStopped) stops.incrementAndGet();
+            scene.record.add("run at " + name + " id=" + id + (isStopped ? ", stops within event " + EVENTS : ""));
             connection.write("HTTP/1.1 200 OK\r\nMulberrypin-Request-Id: " + id + "\r\nMulberrypin-Response-Seal: seal-"
                 + name + "-" + run + "\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n");
             String text = events(id, EVENTS);
             int half = text.length() / 2;
             connection.write(text.substring(0, half));
-            Thread.sleep(100);
-            connection.write(text.substring(half, stops ? text.length() - id.length() - 8 : text.length()));
+            Thread.sleep(20);
+            connection.write(text.substring(half, isStopped ? text.length() - id.length() - 8 : text.length()));
             connection.socket.close();
         });
         scene.store.put("servers", name, "{\"service\":\"engines\",\"address\":" + Json.quote(server.address())
