--- a/review/stand-ins-3/source/Record.java
+++ b/review/stand-ins-3/source/Record.java
@@ -1,5 +1,7 @@
 import java.io.IOException;
+import java.io.OutputStreamWriter;
 import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 
@@ -9,7 +11,9 @@
     private final long start = System.nanoTime();
 
     Record(Path folder) throws IOException {
-        out = new PrintWriter(Files.newBufferedWriter(folder.resolve("record.txt")), true);
+        // Half a character becomes "?"; a writer of Files would fail and leave out all that follows.
+        out = new PrintWriter(
+            new OutputStreamWriter(Files.newOutputStream(folder.resolve("record.txt")), StandardCharsets.UTF_8), true);
     }
 
     long milliseconds() {
