Keep characters whole where texts are split, stored and decoded

Cause: a result is split into pieces of 20,000 UTF-16 units, and each piece is encoded by itself, so a piece that ends between the halves of a character turns each half into "?". The store of the tests kept texts, not bytes.

Change: pieces end with a character.

--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/attempts/AttemptResult.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/attempts/AttemptResult.kt
@@ -2,11 +2,11 @@
 
 /** Result of an attempt. An attempt with an unknown result is never finished: its record says that it may have run. */
 public sealed interface AttemptResult {
-    /** The backend server returned a response. */
+    /** The backend server returned a response; [body] is null if it is no text. */
     public data class Answered(
         val status: Int,
         val contentType: String,
-        val body: String,
+        val body: String?,
     ) : AttemptResult
 
     /**
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/attempts/DecideAttempts.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/attempts/DecideAttempts.kt
@@ -107,13 +107,13 @@
         }
 
         is AttemptResult.Answered -> {
-            val fits = result.body.length <= MAX_BODY_CHARACTERS
+            val stored = result.body?.takeIf { it.length <= MAX_BODY_CHARACTERS }
             row.record.copy(
                 state = AttemptState.ANSWERED,
                 status = result.status,
-                body = if (fits) result.body else "",
+                body = stored.orEmpty(),
                 contentType = result.contentType,
-                bodyDropped = !fits,
+                bodyDropped = stored == null,
             )
         }
     }
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunJobs.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RunJobs.kt
@@ -12,6 +12,7 @@
 import org.mulberrypin.decisions.decideEach
 import org.mulberrypin.schema.generated.JobRecord
 import org.mulberrypin.schema.generated.JobSubmission
+import org.mulberrypin.schema.generated.TaskResult
 
 internal fun TrafficState.handleJobSubmitted(
     event: TrafficEvent.JobSubmitted,
@@ -239,7 +240,7 @@
 ): Transition<TrafficState, TrafficEffect> {
     val job = jobs[id] ?: return Transition(this)
     if (job.pendingResults.isEmpty() || job.resultsBeingWritten > 0 || job.isReloading) return Transition(this)
-    val results = job.pendingResults.take(MAX_RESULTS_PER_WRITE)
+    val results = job.resultsOfOneWrite()
     val isLast = job.storedResultCount + results.size >= job.tasks.size
     val record = if (isLast) job.record.copy(complete = true) else job.record
     val batch = ResultBatch(record, job.version, job.storedResultCount, results)
@@ -247,6 +248,16 @@
     return Transition(copy(jobs = jobs.put(id, updated)), listOf(TrafficEffect.WriteResults(batch)))
 }
 
+/** The first pending results, at least one, up to the size limits of one write. */
+private fun RunningJob.resultsOfOneWrite(): List<TaskResult> {
+    var remainingCharacters = MAX_CHARACTERS_PER_SAVE
+    val fitting = pendingResults.take(MAX_RESULTS_PER_WRITE).takeWhile { result ->
+        remainingCharacters -= result.text.length
+        remainingCharacters >= 0
+    }
+    return fitting.ifEmpty { pendingResults.take(1) }
+}
+
 internal fun TrafficState.handleResultsWritten(
     event: TrafficEvent.ResultsWritten,
     nowMilliseconds: Long,
@@ -337,7 +348,7 @@
     return expiry > 0 && age >= expiry + CLOCK_SKEW_ALLOWANCE_MILLISECONDS
 }
 
-/** Maximum number of results in one write: the store allows 100 rows per transaction, and a result may take several. */
+/** Maximum number of results in one write; a result may take several of the 100 rows that the store allows. */
 private const val MAX_RESULTS_PER_WRITE = 12
 
 /** Delay before rows are reread after a failed write, in milliseconds. */
--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/SaveProgress.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/SaveProgress.kt
@@ -136,7 +136,7 @@
 private const val MAX_PARTS_PER_SAVE = 60
 
 /** Maximum number of characters in one write: up to three bytes each, and the store allows 1 MB of base64. */
-private const val MAX_CHARACTERS_PER_SAVE = 240_000
+internal const val MAX_CHARACTERS_PER_SAVE = 240_000
 
 /** Maximum number of characters in one part: up to three bytes each, and the store allows 64 KiB of base64. */
 private const val MAX_CHARACTERS_PER_PART = 15_000
--- a/runtime/src/main/kotlin/org/mulberrypin/runtime/WireJson.kt
+++ b/runtime/src/main/kotlin/org/mulberrypin/runtime/WireJson.kt
@@ -6,6 +6,7 @@
 
 import kotlinx.serialization.DeserializationStrategy
 import kotlinx.serialization.SerializationException
+import kotlinx.serialization.SerializationStrategy
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonNamingStrategy
 
@@ -18,6 +19,24 @@
         explicitNulls = false
     }
 
+/** Encodes [message] as JSON that UTF-8 can carry, even if one of its texts ends between the halves of a character. */
+public fun <Message> encodeWireJson(
+    serializer: SerializationStrategy<Message>,
+    message: Message,
+): String = escapeUnpairedSurrogates(wireJson.encodeToString(serializer, message))
+
+/** Decodes [bytes] as [parseWireJson] decodes a text; bytes that are not UTF-8 yield the same kind of fault. */
+public fun <Message> parseWireJson(
+    bytes: ByteArray,
+    deserializer: DeserializationStrategy<Message>,
+    step: String,
+    peer: String,
+): Outcome<Message> {
+    val text = bytes.decodeUtf8OrNull()
+        ?: return Outcome.Failure(Fault(step, peer, FaultKind.REFUSED, "expected JSON in UTF-8, found other bytes"))
+    return parseWireJson(text, deserializer, step, peer)
+}
+
 /**
  * Decodes [text] as a message of the schema; returns a fault of kind [FaultKind.REFUSED] if that is not possible.
  *
--- a/service/src/main/kotlin/org/mulberrypin/service/configuration/OperatorRoutes.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/configuration/OperatorRoutes.kt
@@ -65,7 +65,14 @@
     submit: (ConfigurationPatch, (SubmissionResult) -> Unit) -> Unit,
 ): CompletableFuture<HttpResponse> {
     val answer = CompletableFuture<HttpResponse>()
-    when (val patch = parseWireJson(request.contentUtf8(), ConfigurationPatch.serializer(), PATCH_STEP, "operator")) {
+    when (
+        val patch = parseWireJson(
+            request.content().array(),
+            ConfigurationPatch.serializer(),
+            PATCH_STEP,
+            "operator",
+        )
+    ) {
         is Outcome.Success -> submit(patch.value) { result -> answer.complete(patchResponse(result)) }
         is Outcome.Failure -> answer.complete(errorResponse(HttpStatus.BAD_REQUEST, patch.fault, "not_run"))
     }
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/JobCalls.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/JobCalls.kt
@@ -192,7 +192,7 @@
             }
 
             is Outcome.Success -> {
-                val tasks = decodeSubmission(String(outcome.value))?.tasks.orEmpty()
+                val tasks = decodeSubmission(outcome.value)?.tasks.orEmpty()
                 replyBody(signal.callNumber, tasks.firstOrNull { it.id == target.task }?.body)
             }
         }
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/JobEffectHandler.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/JobEffectHandler.kt
@@ -163,7 +163,7 @@
                 }
 
                 is Outcome.Success -> {
-                    val submission = decodeSubmission(String(outcome.value))
+                    val submission = decodeSubmission(outcome.value)
                     if (submission == null) {
                         onEvent(TrafficEvent.JobLoadFailed(record.id, "the submission object cannot be decoded"))
                     } else {
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/JobStore.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/JobStore.kt
@@ -19,6 +19,7 @@
 import org.mulberrypin.runtime.Fault
 import org.mulberrypin.runtime.FaultKind
 import org.mulberrypin.runtime.Outcome
+import org.mulberrypin.runtime.chunkedByCharacters
 import org.mulberrypin.runtime.map
 import org.mulberrypin.schema.generated.JobRecord
 import org.mulberrypin.schema.generated.TaskPart
@@ -193,7 +194,7 @@
 }
 
 private fun splitIntoPieces(text: String): List<String> {
-    val parts = text.chunked(PIECE_CHARACTERS)
+    val parts = text.chunkedByCharacters(PIECE_CHARACTERS)
     return parts.mapIndexed { index, part -> (if (index == parts.lastIndex) LAST_PIECE else CONTINUED_PIECE) + part }
 }
 
@@ -222,7 +223,7 @@
 private const val LAST_PIECE = "L"
 private const val CONTINUED_PIECE = "F"
 
-/** Characters per piece; each takes at most three bytes in UTF-8, and a row holds at most 64 KiB. */
+/** UTF-16 units per piece; each takes at most three bytes in UTF-8, and a row holds at most 64 KiB. */
 private const val PIECE_CHARACTERS = 20_000
 
 /** Rows per page of results; 40 results of 6 KB each stay below the largest response that a trainer accepts. */
--- a/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/deployment/TrafficDuty.kt
@@ -341,7 +341,7 @@
 
     private fun readSubmission(effect: TrafficEffect.ReadSubmission) {
         val call = calls[effect.request] ?: return
-        val submission = decodeSubmission(String(call.body))
+        val submission = decodeSubmission(call.body)
         if (submission == null || effect.id.isEmpty() || call.method != "POST") {
             val expected = "expected a POST of a job with an identifier and items, their bodies in base64"
             ports.log.write(SOURCE, effect.id, "job refused ${HttpStatusCode.BAD_REQUEST}", identity.name, expected)
--- a/service/src/main/kotlin/org/mulberrypin/service/frontend/CompletionFrontEnd.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/frontend/CompletionFrontEnd.kt
@@ -44,7 +44,7 @@
     call: AggregatedHttpRequest,
     caller: Caller,
 ): HttpResponse =
-    when (val content = parseWireJson(call.contentUtf8(), CompletionRequest.serializer(), "front end", "caller")) {
+    when (val content = parseWireJson(call.content().array(), CompletionRequest.serializer(), "front end", "caller")) {
         is Outcome.Failure -> {
             notRunResponse(HttpStatus.BAD_REQUEST, "invalid_request", content.fault.detail).toHttpResponse()
         }
--- a/service/src/main/kotlin/org/mulberrypin/service/frontend/CompletionResponder.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/frontend/CompletionResponder.kt
@@ -13,7 +13,7 @@
 import com.linecorp.armeria.common.ResponseHeaders
 import com.linecorp.armeria.common.stream.AbortedStreamException
 import org.mulberrypin.decisions.requests.RequestReply
-import org.mulberrypin.runtime.wireJson
+import org.mulberrypin.runtime.encodeWireJson
 import org.mulberrypin.schema.generated.CompletionChunk
 import org.mulberrypin.schema.generated.CompletionRequest
 import org.mulberrypin.schema.generated.ErrorAnswer
@@ -70,7 +70,7 @@
     }
 
     private fun write(chunk: CompletionChunk) {
-        writeEvent(openStream(), wireJson.encodeToString(CompletionChunk.serializer(), chunk))
+        writeEvent(openStream(), encodeWireJson(CompletionChunk.serializer(), chunk))
     }
 
     private fun end(reply: RequestReply.Finished) {
@@ -88,7 +88,7 @@
         if (stream == null) {
             response.complete(errorResponse())
         } else {
-            writeEvent(stream, wireJson.encodeToString(ErrorAnswer.serializer(), ErrorAnswer(detail)))
+            writeEvent(stream, encodeWireJson(ErrorAnswer.serializer(), ErrorAnswer(detail)))
             stream.close(AbortedStreamException.get())
         }
     }
@@ -136,7 +136,7 @@
     }
 
     private fun completionResponse(reply: RequestReply.Finished): HttpResponse {
-        val body = wireJson.encodeToString(CompletionChunk.serializer(), chunks.completion(reply, text.toString()))
+        val body = encodeWireJson(CompletionChunk.serializer(), chunks.completion(reply, text.toString()))
         val headers = ResponseHeaders.builder(HttpStatus.OK).contentType(MediaType.JSON)
         return HttpResponse.of(headers.add(REQUEST_ID_HEADER, chunks.requestId).build(), HttpData.ofUtf8(body))
     }
--- a/service/src/main/kotlin/org/mulberrypin/service/frontend/IdempotentCalls.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/frontend/IdempotentCalls.kt
@@ -15,6 +15,7 @@
 import org.mulberrypin.decisions.attempts.AttemptResult
 import org.mulberrypin.decisions.requests.Refusal
 import org.mulberrypin.decisions.requests.RequestReply
+import org.mulberrypin.runtime.decodeUtf8OrNull
 import org.mulberrypin.service.attempts.AttemptPart
 import org.mulberrypin.service.requests.ServiceSubmission
 
@@ -74,7 +75,7 @@
     AttemptResult.Answered(
         status = response.status().code(),
         contentType = response.contentType()?.toString().orEmpty(),
-        body = response.contentUtf8(),
+        body = response.content().array().decodeUtf8OrNull(),
     )
 
 private fun outcomeResponse(outcome: AttemptOutcome): AggregatedHttpResponse =
@@ -101,7 +102,7 @@
     }
 
 private fun replayedResponse(outcome: AttemptOutcome.AlreadyCompleted): AggregatedHttpResponse {
-    val body = outcome.body ?: return failureResponse(responseTooLarge)
+    val body = outcome.body ?: return failureResponse(responseNotStored)
     val headers = ResponseHeaders.builder(HttpStatus.valueOf(outcome.status))
     if (outcome.contentType.isNotEmpty()) headers.contentType(MediaType.parse(outcome.contentType))
     return AggregatedHttpResponse.of(headers.build(), HttpData.ofUtf8(body))
@@ -113,5 +114,9 @@
 private val mayHaveRun =
     RequestReply.MayHaveRun("A request with this idempotency key may have run.", step = "attempt record", peer = "")
 
-private val responseTooLarge =
-    RequestReply.MayHaveRun("The request ran; its response was too large to store.", step = "attempt record", peer = "")
+private val responseNotStored =
+    RequestReply.MayHaveRun(
+        "The request ran; its response was too large to store, or no text.",
+        step = "attempt record",
+        peer = "",
+    )
--- a/service/src/main/kotlin/org/mulberrypin/service/frontend/PlainServiceFrontEnd.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/frontend/PlainServiceFrontEnd.kt
@@ -15,10 +15,12 @@
 import org.mulberrypin.decisions.requests.Refusal
 import org.mulberrypin.decisions.requests.RequestArrival
 import org.mulberrypin.decisions.requests.RequestReply
+import org.mulberrypin.runtime.decodeUtf8OrNull
 import org.mulberrypin.schema.generated.Route
 import org.mulberrypin.schema.generated.RouteKind
 import org.mulberrypin.schema.generated.RoutePriority
 import org.mulberrypin.service.requests.ServiceSubmission
+import java.util.Base64
 
 /** Registers the endpoint for plain services. */
 internal fun plainServiceRoutes(dependencies: FrontEndDependencies): (ServerBuilder) -> Unit =
@@ -89,7 +91,7 @@
             caller = caller,
             headers = call.headers(),
             route = routeName,
-            content = "${call.method()} ${call.path()}\n${call.contentUtf8()}",
+            content = "${call.method()} ${call.path()}\n${textOf(call.content().array())}",
             prefix = "",
             priority = route?.priority ?: RoutePriority.INTERACTIVE,
             repeatable = route != null && isRepeatable(route, call),
@@ -98,6 +100,9 @@
     return dependencies.arrivals.create(source)
 }
 
+/** Returns a text that tells any two bodies apart: base64 for bytes that are not UTF-8. */
+private fun textOf(body: ByteArray): String = body.decodeUtf8OrNull() ?: Base64.getEncoder().encodeToString(body)
+
 private fun isRepeatable(
     route: Route,
     call: AggregatedHttpRequest,
--- a/service/src/main/kotlin/org/mulberrypin/service/requests/ArmeriaBackendClient.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/requests/ArmeriaBackendClient.kt
@@ -22,8 +22,8 @@
 import org.mulberrypin.platform.MalformedResponseException
 import org.mulberrypin.platform.requireOrderlyEnds
 import org.mulberrypin.runtime.Outcome
+import org.mulberrypin.runtime.encodeWireJson
 import org.mulberrypin.runtime.parseWireJson
-import org.mulberrypin.runtime.wireJson
 import org.mulberrypin.schema.generated.CompletionRequest
 import org.mulberrypin.schema.generated.EngineLoad
 import org.mulberrypin.schema.generated.ErrorAnswer
@@ -60,7 +60,7 @@
             .contentType(MediaType.JSON)
             .add(HttpHeaderNames.ACCEPT, MediaType.EVENT_STREAM.toString())
             .build()
-    val body = wireJson.encodeToString(CompletionRequest.serializer(), content)
+    val body = encodeWireJson(CompletionRequest.serializer(), content)
     val options = RequestOptions
         .builder()
         .maxResponseLength(0)
--- a/service/src/main/kotlin/org/mulberrypin/service/requests/CompletionSubscriber.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/requests/CompletionSubscriber.kt
@@ -15,6 +15,7 @@
 import org.mulberrypin.schema.generated.CompletionChunk
 import org.reactivestreams.Subscriber
 import org.reactivestreams.Subscription
+import java.io.ByteArrayOutputStream
 
 /**
  * Reads one streamed completion from an engine. The completion is finished only if its end marker was received; a
@@ -25,7 +26,7 @@
     private val listener: BackendListener,
 ) : Subscriber<HttpObject> {
     private val eventParser = ServerSentEventParser()
-    private val errorText = StringBuilder()
+    private val errorBody = ByteArrayOutputStream()
     private lateinit var subscription: Subscription
     private var status: HttpStatus = HttpStatus.UNKNOWN
     private var finishReason: String? = null
@@ -61,7 +62,7 @@
                 listener.onFailed(AttemptEnding.CUT, "The response stream ended before the end marker.")
             }
 
-            isNotRunResponse(errorText.toString(), status, address) -> {
+            isNotRunResponse(errorBody.toString(Charsets.UTF_8), status, address) -> {
                 listener.onFailed(AttemptEnding.REFUSED, "HTTP status ${status.code()}; the request was not run.")
             }
 
@@ -82,12 +83,13 @@
 
     private fun handleData(data: HttpData) {
         if (status != HttpStatus.OK) {
-            if (errorText.length < MAX_ERROR_CHARACTERS) errorText.append(data.toStringUtf8())
+            if (errorBody.size() < MAX_ERROR_BYTES) errorBody.writeBytes(data.array())
             subscription.request(1)
             return
         }
         if (ended) return
         val chunks = eventParser.append(data.array()).mapNotNull(::handleEvent)
+        if (!ended && eventParser.isMalformed) parseFault = endAsMalformed()
         if (!ended && eventParser.unfinishedBytes > MAX_EVENT_BYTES) return cutEndless("bytes of an event")
         if (chunks.isEmpty()) subscription.request(1) else listener.onChunks(chunks) { subscription.request(1) }
         val fault = parseFault
@@ -128,6 +130,12 @@
             }
         }
 
+    private fun endAsMalformed(): Fault {
+        ended = true
+        subscription.cancel()
+        return Fault(STEP, address, FaultKind.REFUSED, "found a line that is not UTF-8")
+    }
+
     /** A malformed event may have contained text, so the completion can no longer be finished. */
     private fun failOnMalformedEvent(fault: Fault): RequestReply.Chunk? {
         ended = true
@@ -152,7 +160,7 @@
         private const val STEP = "completion chunk"
         private const val END_MARKER = "[DONE]"
         private const val DEFAULT_FINISH_REASON = "stop"
-        private const val MAX_ERROR_CHARACTERS = 4_096
+        private const val MAX_ERROR_BYTES = 4_096
 
         /** Maximum size of one event of a completion, in bytes; events hold some tokens each. */
         private const val MAX_EVENT_BYTES = 1_048_576
--- a/service/src/main/kotlin/org/mulberrypin/service/requests/ServerSentEventParser.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/requests/ServerSentEventParser.kt
@@ -1,8 +1,9 @@
 package org.mulberrypin.service.requests
 
+import org.mulberrypin.runtime.decodeUtf8OrNull
 import java.io.ByteArrayOutputStream
 
-/** Extracts the data lines of server-sent events from a byte stream. Not thread-safe. */
+/** Extracts the data lines of server-sent events from bytes, up to a line that is not UTF-8. Not thread-safe. */
 internal class ServerSentEventParser {
     private val line = ByteArrayOutputStream()
 
@@ -10,18 +11,27 @@
     val unfinishedBytes: Int
         get() = line.size()
 
+    /** True once a line was not UTF-8; no line is returned from then on. */
+    var isMalformed = false
+        private set
+
     /** Appends bytes and returns the data lines that are now complete, in order. */
     fun append(bytes: ByteArray): List<String> {
         val data = ArrayList<String>()
         for (byte in bytes) {
+            if (isMalformed) break
             if (byte == LINE_FEED) completeLine()?.let(data::add) else line.write(byte.toInt())
         }
         return data
     }
 
     private fun completeLine(): String? {
-        val text = line.toString(Charsets.UTF_8).trimEnd('\r')
+        val text = line.toByteArray().decodeUtf8OrNull()?.trimEnd('\r')
         line.reset()
+        if (text == null) {
+            isMalformed = true
+            return null
+        }
         return if (text.startsWith(DATA_FIELD)) text.removePrefix(DATA_FIELD).trimStart() else null
     }
 
--- a/service/src/main/kotlin/org/mulberrypin/service/rollouts/PlatformStepStore.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/rollouts/PlatformStepStore.kt
@@ -16,10 +16,10 @@
 import org.mulberrypin.runtime.Fault
 import org.mulberrypin.runtime.FaultKind
 import org.mulberrypin.runtime.Outcome
+import org.mulberrypin.runtime.encodeWireJson
 import org.mulberrypin.runtime.map
 import org.mulberrypin.runtime.parseWireJson
 import org.mulberrypin.runtime.then
-import org.mulberrypin.runtime.wireJson
 import org.mulberrypin.schema.generated.Batch
 import org.mulberrypin.schema.generated.LeaseRecord
 import org.mulberrypin.schema.generated.StepRecord
@@ -87,7 +87,7 @@
 ): Pair<StoreResult, StepObjects?> {
     val newRequest = opening.newRequest
     if (newRequest != null) {
-        val content = wireJson.encodeToString(StepRequest.serializer(), newRequest)
+        val content = encodeWireJson(StepRequest.serializer(), newRequest)
         if (platform.objects.put(opening.record.record.requestObject, content) is Outcome.Failure) {
             return StoreResult.FAILED to null
         }
@@ -158,7 +158,7 @@
     platform: Platform,
     name: String,
     batch: Batch,
-): Boolean = platform.objects.put(name, wireJson.encodeToString(Batch.serializer(), batch)) is Outcome.Success
+): Boolean = platform.objects.put(name, encodeWireJson(Batch.serializer(), batch)) is Outcome.Success
 
 private fun writeCommit(write: StepWrite) =
     TableCommit(
--- a/service/src/main/kotlin/org/mulberrypin/service/rollouts/RolloutRoutes.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/rollouts/RolloutRoutes.kt
@@ -18,10 +18,10 @@
 import org.mulberrypin.decisions.requests.Caller
 import org.mulberrypin.decisions.rollouts.TrainerCall
 import org.mulberrypin.runtime.Outcome
+import org.mulberrypin.runtime.encodeWireJson
 import org.mulberrypin.runtime.map
 import org.mulberrypin.runtime.parseWireJson
 import org.mulberrypin.runtime.then
-import org.mulberrypin.runtime.wireJson
 import org.mulberrypin.schema.generated.BatchAnswer
 import org.mulberrypin.schema.generated.BatchRequest
 import org.mulberrypin.schema.generated.ErrorAnswer
@@ -67,13 +67,13 @@
     context: ServiceRequestContext,
     authenticate: (String?) -> Caller?,
     offer: (RolloutInput) -> Boolean,
-    read: (String, Caller) -> Outcome<(Long) -> TrainerCall>,
+    read: (ByteArray, Caller) -> Outcome<(Long) -> TrainerCall>,
 ): CompletionStage<HttpResponse> {
     val caller = authenticate(request.headers().get(HttpHeaderNames.AUTHORIZATION))
     return when (caller?.role) {
         null -> completed(errorResponse(HttpStatus.UNAUTHORIZED, "Expected a valid key in the Authorization header."))
 
-        KeyRole.TRAINER -> when (val createCall = read(request.contentUtf8(), caller)) {
+        KeyRole.TRAINER -> when (val createCall = read(request.content().array(), caller)) {
             is Outcome.Failure -> completed(errorResponse(HttpStatus.BAD_REQUEST, createCall.fault.detail))
             is Outcome.Success -> enqueueCall(createCall.value, context, offer)
         }
@@ -98,7 +98,7 @@
 }
 
 private fun readStepRequest(
-    content: String,
+    content: ByteArray,
     caller: Caller,
 ): Outcome<(Long) -> TrainerCall> =
     parseWireJson(content, StepRequest.serializer(), STEP, caller.keyName)
@@ -107,7 +107,7 @@
         .map { request -> { callNumber -> TrainerCall.Open(callNumber, request) } }
 
 private fun readBatchRequest(
-    content: String,
+    content: ByteArray,
     caller: Caller,
 ): Outcome<(Long) -> TrainerCall> =
     parseWireJson(content, BatchRequest.serializer(), STEP, caller.keyName)
@@ -118,7 +118,7 @@
 private fun batchResponse(answer: BatchAnswer): HttpResponse {
     val isRefusal = answer.failure.isNotEmpty() && !answer.complete
     val status = if (isRefusal) HttpStatus.CONFLICT else HttpStatus.OK
-    return HttpResponse.of(status, MediaType.JSON, wireJson.encodeToString(BatchAnswer.serializer(), answer))
+    return HttpResponse.of(status, MediaType.JSON, encodeWireJson(BatchAnswer.serializer(), answer))
 }
 
 private fun errorResponse(
@@ -132,6 +132,6 @@
     if (status == HttpStatus.SERVICE_UNAVAILABLE) {
         headers.add(HttpHeaderNames.RETRY_AFTER, "1")
     }
-    val content = wireJson.encodeToString(ErrorAnswer.serializer(), answer)
+    val content = encodeWireJson(ErrorAnswer.serializer(), answer)
     return HttpResponse.of(headers.build(), HttpData.ofUtf8(content))
 }
--- a/service/src/main/kotlin/org/mulberrypin/service/rollouts/Scorer.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/rollouts/Scorer.kt
@@ -9,8 +9,8 @@
 import org.mulberrypin.runtime.Fault
 import org.mulberrypin.runtime.FaultKind
 import org.mulberrypin.runtime.Outcome
+import org.mulberrypin.runtime.encodeWireJson
 import org.mulberrypin.runtime.parseWireJson
-import org.mulberrypin.runtime.wireJson
 import org.mulberrypin.schema.generated.PromptGroup
 import org.mulberrypin.schema.generated.ScoreAnswer
 import org.mulberrypin.schema.generated.ScoreRequest
@@ -54,7 +54,7 @@
 
 private const val SCORE_STEP = "score sample"
 
-private fun encode(request: ScoreRequest) = wireJson.encodeToString(ScoreRequest.serializer(), request)
+private fun encode(request: ScoreRequest) = encodeWireJson(ScoreRequest.serializer(), request)
 
 private fun readScore(
     content: String,
--- a/service/src/main/kotlin/org/mulberrypin/service/rollouts/StepRows.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/rollouts/StepRows.kt
@@ -5,9 +5,9 @@
 import org.mulberrypin.decisions.rollouts.StepKey
 import org.mulberrypin.decisions.rollouts.Versioned
 import org.mulberrypin.runtime.Outcome
+import org.mulberrypin.runtime.encodeWireJson
 import org.mulberrypin.runtime.map
 import org.mulberrypin.runtime.parseWireJson
-import org.mulberrypin.runtime.wireJson
 import org.mulberrypin.schema.generated.LeaseRecord
 import org.mulberrypin.schema.generated.StepRecord
 import org.mulberrypin.schema.generated.TableCondition
@@ -30,17 +30,17 @@
 internal fun leaseRowWrite(
     row: String,
     lease: LeaseRecord,
-) = TableWrite(row, wireJson.encodeToString(LeaseRecord.serializer(), lease))
+) = TableWrite(row, encodeWireJson(LeaseRecord.serializer(), lease))
 
 internal fun recordRowWrite(
     key: StepKey,
     record: StepRecord,
-) = TableWrite(recordRowKey(key), wireJson.encodeToString(StepRecord.serializer(), record))
+) = TableWrite(recordRowKey(key), encodeWireJson(StepRecord.serializer(), record))
 
 internal fun trainerRowWrite(
     key: StepKey,
     trainer: TrainerRecord,
-) = TableWrite(trainerRowKey(key), wireJson.encodeToString(TrainerRecord.serializer(), trainer))
+) = TableWrite(trainerRowKey(key), encodeWireJson(TrainerRecord.serializer(), trainer))
 
 /** Condition that [row] has [version]; version 0 means that it does not exist. */
 internal fun versionCondition(
--- a/service/src/test/kotlin/org/mulberrypin/service/deployment/ScriptedStore.kt
+++ b/service/src/test/kotlin/org/mulberrypin/service/deployment/ScriptedStore.kt
@@ -63,7 +63,9 @@
         if (!allConditionsHold) return TransactionResult.Conflict(transaction.conditions.mapNotNull(::rowOf))
         version++
         transaction.writes.forEach { write ->
-            val row = StoredRow(write.table, write.partition, write.key, write.value, version)
+            // The store keeps bytes, so text that UTF-8 cannot encode comes back changed.
+            val value = write.value.toByteArray().decodeToString()
+            val row = StoredRow(write.table, write.partition, write.key, value, version)
             val earlier = rows.put(rowKey(row.table, row.partition, row.key), row)
             if (earlier != null && write.table == StoreTables.RESULTS) overwritten.add(write.key)
         }
--- a/service/src/test/kotlin/org/mulberrypin/service/requests/CompletionSubscriberTest.kt
+++ b/service/src/test/kotlin/org/mulberrypin/service/requests/CompletionSubscriberTest.kt
@@ -72,6 +72,25 @@
         expectThat(cancelled).isEqualTo(1)
     }
 
+    // Guards against a read that ends within a character and damages the text of a completion.
+    @Test
+    fun `reads of any length leave a text whole`() {
+        val bytes = "${chunk("\u00e9\u20ac\uD83C\uDF32")}\n\ndata: [DONE]\n\n".toByteArray()
+        bytes.forEach { subscriber.onNext(HttpData.wrap(byteArrayOf(it))) }
+        expectThat(texts).containsExactly("\u00e9\u20ac\uD83C\uDF32")
+        expectThat(endings).containsExactly("stop")
+    }
+
+    // Guards against damaged bytes that are passed on as replacement characters of a complete text.
+    @Test
+    fun `reports a completion as cut at bytes that are not UTF-8`() {
+        subscriber.onNext(HttpData.wrap("${chunk("a")}\n\n${chunk("\u00e9")}\n\n".toByteArray(Charsets.ISO_8859_1)))
+        receive("data: [DONE]")
+        expectThat(texts).containsExactly("a")
+        expectThat(endings).containsExactly(AttemptEnding.CUT.name)
+        expectThat(cancelled).isEqualTo(1)
+    }
+
     private fun receive(vararg lines: String) =
         subscriber.onNext(HttpData.ofUtf8(lines.joinToString("") { "$it\n\n" }))
 
