--- a/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RetryRequests.kt
+++ b/decisions/src/main/kotlin/org/mulberrypin/decisions/traffic/RetryRequests.kt
@@ -5,6 +5,7 @@
 import org.mulberrypin.decisions.andThen
 import org.mulberrypin.decisions.decideEach
 import org.mulberrypin.schema.generated.RequestKind
+import org.mulberrypin.schema.generated.ServingRoute
 
 internal fun TrafficState.canRetry(
     request: ForwardedRequest,
@@ -16,7 +17,7 @@
     request: ForwardedRequest,
     nowMilliseconds: Long,
 ): Boolean {
-    val isRetrySafe = request.route.kind == RequestKind.IDEMPOTENT || !request.mayHaveRun
+    val isRetrySafe = isRepeatable(request.route) || !request.mayHaveRun
     val isSuspect = request.origin is Origin.Scoring && crashWait(request.crashes) > 0
     val isTooLate = request.mayHaveRun && isTooLateToRun(request, nowMilliseconds)
     val isHopeless = isTooLate || cannotBeInTime(request, nowMilliseconds)
@@ -24,6 +25,10 @@
         !isHeld(request.content, nowMilliseconds)
 }
 
+/** Whether a request of [route] may run more than once; the caller has got nothing of a stream that failed. */
+private fun isRepeatable(route: ServingRoute): Boolean =
+    route.kind == RequestKind.IDEMPOTENT || (route.kind == RequestKind.STREAM && route.resumable)
+
 /** What is told of a retry that the budget of its pool does not allow. */
 internal fun TrafficState.retryWithheld(
     request: ForwardedRequest,
