Learn of callers that leave when their connections close

Cause: the instance followed the cancellation of the request alone, which the HTTP library schedules for one second after an HTTP/1 connection has closed, by FIN or by reset.

Evidence: a trace showed the cancellation 1,020 ms after the close, from a scheduled task of the library; with its drain time of connections at zero 1,028 ms.

Change: onCallerDeparture follows the close of the connection, too, and tells of a departure once; its listener goes with the request. The own interface had the same second and uses it, and queues a request before it follows its caller.

--- a/decisions/src/test/kotlin/org/mulberrypin/decisions/traffic/ForwardRequestsTest.kt
+++ b/decisions/src/test/kotlin/org/mulberrypin/decisions/traffic/ForwardRequestsTest.kt
@@ -131,6 +131,19 @@
         ).isEqualTo(0)
     }
 
+    // Guards against a request that waits for a backend server and is sent after its caller has left.
+    @Test
+    fun `sends nothing for a client that disconnects while its request waits`() {
+        val fixture = fixture(plainServers = 1)
+        fixture.decide(TrafficEvent.BackendsChanged(emptyList()))
+        fixture.decide(arrival(1))
+        fixture.decide(TrafficEvent.CallerDisconnected(1))
+        fixture.decide(TrafficEvent.BackendsChanged(listOf(plainServer("plain-1"))))
+        fixture.decide(TrafficEvent.Tick)
+        expectThat(fixture.effectsOf<TrafficEffect.Send>()).isEmpty()
+        expectThat(fixture.state.requests).isEmpty()
+    }
+
     @Test
     fun `sends no request to a backend server that is leaving`() {
         val fixture = fixture(plainServers = 1)
--- a/service/src/main/kotlin/org/mulberrypin/service/frontend/CompletionFrontEnd.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/frontend/CompletionFrontEnd.kt
@@ -13,6 +13,7 @@
 import org.mulberrypin.decisions.requests.Caller
 import org.mulberrypin.decisions.requests.Refusal
 import org.mulberrypin.decisions.requests.RequestReply
+import org.mulberrypin.platform.onCallerDeparture
 import org.mulberrypin.runtime.Outcome
 import org.mulberrypin.runtime.parseWireJson
 import org.mulberrypin.schema.generated.CompletionRequest
@@ -77,10 +78,10 @@
         )
     val arrival = dependencies.arrivals.create(source)
     val responder = completionResponder(arrival.requestId, content)
-    context.whenRequestCancelled().thenAccept { dependencies.requests.cancel(request) }
     if (!dependencies.requests.submit(RequestSubmission(arrival, content, responder.onReply))) {
         responder.onReply(RequestReply.NotRun(Refusal.OVERLOADED, OVERLOADED_RETRY_MILLISECONDS, "front end", ""))
     }
+    context.onCallerDeparture { dependencies.requests.cancel(request) }
     return HttpResponse.of(responder.response)
 }
 
--- a/service/src/main/kotlin/org/mulberrypin/service/frontend/PlainServiceFrontEnd.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/frontend/PlainServiceFrontEnd.kt
@@ -15,6 +15,7 @@
 import org.mulberrypin.decisions.requests.Refusal
 import org.mulberrypin.decisions.requests.RequestArrival
 import org.mulberrypin.decisions.requests.RequestReply
+import org.mulberrypin.platform.onCallerDeparture
 import org.mulberrypin.runtime.decodeUtf8OrNull
 import org.mulberrypin.schema.generated.Route
 import org.mulberrypin.schema.generated.RouteKind
@@ -43,7 +44,6 @@
     val request = dependencies.requests.nextRequestNumber()
     val arrival = createArrival(dependencies, call, caller, request)
     val responder = serviceResponder()
-    context.whenRequestCancelled().thenAccept { dependencies.requests.cancel(request) }
     val submission =
         ServiceSubmission(
             arrival,
@@ -59,6 +59,7 @@
             submitOrRefuse(dependencies, it)
         }
     }
+    context.onCallerDeparture { dependencies.requests.cancel(request) }
     return HttpResponse.of(responder.response)
 }
 
--- a/service/src/test/kotlin/org/mulberrypin/service/frontend/BrokenStreamsTest.kt
+++ b/service/src/test/kotlin/org/mulberrypin/service/frontend/BrokenStreamsTest.kt
@@ -28,10 +28,14 @@
 import strikt.assertions.contains
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
 import strikt.assertions.startsWith
 import java.io.InputStream
 import java.net.InetSocketAddress
 import java.net.Socket
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
 
 /**
@@ -123,6 +127,25 @@
         expectThat(received).contains(END)
     }
 
+    // Guards against engines that work for a caller whose connection has closed a second ago.
+    @Test
+    fun `the work for a caller that leaves ends at once`() {
+        val requests = mapOf("GET /services/orders/1 HTTP/1.1" to "", "POST /v1/completions HTTP/1.1" to STREAM)
+        for ((requestLine, body) in requests) {
+            val begun = CountDownLatch(1)
+            val ended = CompletableFuture<Long>()
+            next = { connection, _ ->
+                begun.countDown()
+                connection.readRequest()
+                ended.complete(System.nanoTime())
+            }
+            send(requestLine, body) { begun.await() }
+            val left = System.nanoTime()
+            val worked = ended.get(WAIT_MILLISECONDS.toLong(), TimeUnit.MILLISECONDS) - left
+            expectThat(TimeUnit.NANOSECONDS.toMillis(worked)).isLessThan(AT_ONCE_MILLISECONDS)
+        }
+    }
+
     private fun expectBroken(received: String) {
         expectThat(received).startsWith("HTTP/1.1 200 OK")
         expectThat(textsOf(received)).isEqualTo("ab")
@@ -136,18 +159,18 @@
         Regex(""""text":"(\w*)"""").findAll(received).joinToString("") { it.groupValues.last() }
 
     private fun readStream(): String =
-        send("POST /v1/completions HTTP/1.1", """{"model":"sorter","prompt":"p","stream":true}""") {
+        send("POST /v1/completions HTTP/1.1", STREAM) {
             it.readAllBytes().decodeToString()
         }
 
     private fun readStatus(requestLine: String): String = send(requestLine, "") { it.bufferedReader().readLine() }
 
     /** Sends a caller's request and returns what [read] reads of the response. */
-    private fun send(
+    private fun <Result> send(
         requestLine: String,
         body: String,
-        read: (InputStream) -> String,
-    ): String {
+        read: (InputStream) -> Result,
+    ): Result {
         latest = configuration()
         requestPart.configurationChanged(latest)
         Socket("127.0.0.1", frontEnd.activeLocalPort()).use { socket ->
@@ -205,8 +228,12 @@
     private companion object {
         private const val ENGINE_TEXT = "the-text-of-the-engine"
         private const val END = "data: [DONE]\n\n"
+        private const val STREAM = """{"model":"sorter","prompt":"p","stream":true}"""
         private const val WAIT_MILLISECONDS = 20_000
 
+        /** Half of the time within which the work for a caller that has left must end, in milliseconds. */
+        private const val AT_ONCE_MILLISECONDS = 250L
+
         /** A request whose identifier is at least as long as those of the other requests. */
         private val sampleRequest = ScriptedRequest("", "x-attempt-id: ${"i".repeat(40)}\r\n", "")
         private val requestSettings = RequestSettings(
