--- a/service/src/main/kotlin/org/mulberrypin/service/configuration/OperatorRoutes.kt
+++ b/service/src/main/kotlin/org/mulberrypin/service/configuration/OperatorRoutes.kt
@@ -65,14 +65,8 @@
     submit: (ConfigurationPatch, (SubmissionResult) -> Unit) -> Unit,
 ): CompletableFuture<HttpResponse> {
     val answer = CompletableFuture<HttpResponse>()
-    when (
-        val patch = parseWireJson(
-            request.content().array(),
-            ConfigurationPatch.serializer(),
-            PATCH_STEP,
-            "operator",
-        )
-    ) {
+    val body = request.content().array()
+    when (val patch = parseWireJson(body, ConfigurationPatch.serializer(), PATCH_STEP, "operator")) {
         is Outcome.Success -> submit(patch.value) { result -> answer.complete(patchResponse(result)) }
         is Outcome.Failure -> answer.complete(errorResponse(HttpStatus.BAD_REQUEST, patch.fault, "not_run"))
     }
